--- /dev/null
+++ b/src/bookkeeping/machines.ts
@@ -0,0 +1,165 @@
+import type { MachineType } from '../protocol/cloud.ts';
+import type { Int } from '../protocol/json.ts';
+import type { EndReason, TaskState } from '../protocol/workers.ts';
+import type { MachineRecord } from './records.ts';
+import type { Slice } from './slices.ts';
+
+/**
+ * How far a launch has got. `sent`: in the answer to a report, which the worker drops if late, so the
+ * next report decides. `direct`: sent to the machine itself with no answer yet, so it may still arrive at
+ * any time within the session. `seen`: reported.
+ */
+export type LaunchPhase = 'new' | 'sent' | 'direct' | 'seen';
+
+export interface Attempt {
+  key: string;
+  task: string;
+  number: Int;
+  /** Null for a task that no slice of the part knows: it is stopped. */
+  slice: Slice | null;
+  position: number;
+  phase: LaunchPhase;
+  state: TaskState;
+  halting: boolean;
+  startedAt: number;
+}
+
+export interface EndedAttempt {
+  task: string;
+  number: Int;
+  reason: EndReason;
+  /** The slice that must have recorded the result before the worker may forget it. */
+  slice: Slice | null;
+  position: number;
+}
+
+export interface Machine {
+  readonly id: string;
+  endpoint: string;
+  typeName: string;
+  /** Null until the catalogue is known. */
+  type: MachineType | null;
+  zone: string;
+  spot: boolean;
+  /** Whether its record is in the state service; nothing is launched before. */
+  recorded: boolean;
+  /** Whether it has been seen with this owner's token: then its reports are the whole truth. */
+  fenced: boolean;
+  /** Recorded by an owner before and not accounted for since: any task of the part may be on it. */
+  suspect: boolean;
+  session: Int;
+  seq: Int;
+  heardAt: number;
+  /** When a report of it was last answered 200, by this owner or at the latest by the one before. */
+  answeredAt: number;
+  noticed: boolean;
+  draining: boolean;
+  returning: boolean;
+  probing: boolean;
+  commanding: boolean;
+  nextFenceAt: number;
+  attempts: Map<string, Attempt>;
+  ended: Map<string, EndedAttempt>;
+  /** Attempts with a direct launch that got no answer: forgotten, it could start again when it arrives late. */
+  unforgettable: Set<string>;
+  /** The booked share by the last report, and that of the tasks started since. */
+  load: number;
+  drift: number;
+  emptySince: number;
+  /** Since when direct questions go unanswered; infinite while they are answered. */
+  deafSince: number;
+  faults: number;
+  faultJobs: Set<string>;
+  pausedUntil: number;
+}
+
+export function newMachine(id: string, record: MachineRecord, now: number): Machine {
+  return {
+    id,
+    endpoint: record.endpoint,
+    typeName: record.type,
+    type: null,
+    zone: record.zone,
+    spot: record.spot,
+    recorded: false,
+    fenced: false,
+    suspect: false,
+    session: 0,
+    seq: 0,
+    heardAt: now,
+    answeredAt: now,
+    noticed: false,
+    draining: false,
+    returning: false,
+    probing: false,
+    commanding: false,
+    nextFenceAt: now,
+    attempts: new Map(),
+    ended: new Map(),
+    unforgettable: new Set(),
+    load: 0,
+    drift: 0,
+    emptySince: now,
+    deafSince: Infinity,
+    faults: 0,
+    faultJobs: new Set(),
+    pausedUntil: 0,
+  };
+}
+
+export interface Need {
+  cores: number;
+  accelerators: number;
+  ramGb: number;
+}
+
+/** What the machine has left, or null when something on it or its type is unknown. */
+export function room(machine: Machine): Need | null {
+  if (!machine.type) return null;
+  const left = {
+    cores: machine.type.cores,
+    accelerators: machine.type.accelerators,
+    ramGb: machine.type.ramGb,
+  };
+  for (const attempt of machine.attempts.values()) {
+    if (!attempt.slice) return null;
+    left.cores -= attempt.slice.spec.cores;
+    left.accelerators -= attempt.slice.spec.accelerators;
+    left.ramGb -= attempt.slice.spec.ramGb;
+  }
+  return left;
+}
+
+const ROUNDING = 1e-6;
+
+export function fits(need: Need, left: Need): boolean {
+  return (
+    need.cores <= left.cores + ROUNDING &&
+    need.accelerators <= left.accelerators + ROUNDING &&
+    need.ramGb <= left.ramGb + ROUNDING
+  );
+}
+
+/** The share of the machine's scarcest resource that a need books. */
+export function share(need: Need, type: MachineType): number {
+  const of = (part: number, whole: number): number => (part <= 0 ? 0 : whole <= 0 ? 1 : part / whole);
+  return Math.max(
+    of(need.cores, type.cores),
+    of(need.accelerators, type.accelerators),
+    of(need.ramGb, type.ramGb),
+  );
+}
+
+/** Booked share of the scarcest resource, by a filter on the attempts counted. */
+export function booked(machine: Machine, counts: (attempt: Attempt) => boolean): number {
+  if (!machine.type) return 1;
+  const sum = { cores: 0, accelerators: 0, ramGb: 0 };
+  for (const attempt of machine.attempts.values()) {
+    if (!counts(attempt)) continue;
+    if (!attempt.slice) return 1;
+    sum.cores += attempt.slice.spec.cores;
+    sum.accelerators += attempt.slice.spec.accelerators;
+    sum.ramGb += attempt.slice.spec.ramGb;
+  }
+  return share(sum, machine.type);
+}
--- /dev/null
+++ b/src/bookkeeping/records.ts
@@ -0,0 +1,132 @@
+import * as z from 'zod/mini';
+import { SLICE_SPEC_BYTES } from '../constants.ts';
+import type { JobSpec } from '../protocol/users.ts';
+
+/**
+ * The records kept in the state service. All under `live/` is followed by every node; `job/` is read
+ * one by one, so that the finished jobs, which are kept for ever, cost nobody anything.
+ */
+export const LIVE = 'live/';
+
+export interface NodeRecord {
+  incarnation: string;
+}
+export interface PartRecord {
+  owner: string;
+  incarnation: string;
+  token: number;
+}
+export interface MachineRecord {
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+/** Tasks `from` to `from + count` of a job as far as they are not settled (done, or moved to another slice). */
+export interface SliceRecord {
+  spec: JobSpec;
+  from: number;
+  count: number;
+  settled: string;
+  /** Time of day of the submission, milliseconds; orders the waits. */
+  at: number;
+}
+export interface Amounts {
+  cores: number;
+  accelerators: number;
+}
+/** How a team's limit is split over the parts. */
+export interface QuotaRecord {
+  shares: Record<string, Amounts>;
+}
+export interface JobRecord {
+  status: 'open' | 'done' | 'cancelled';
+  tasks: number;
+  /** The job's slices that are not finished, as `part/job/chunk`. */
+  open: string[];
+}
+
+export const nodeKey = (name: string): string => `${LIVE}node/${name}`;
+export const partKey = (part: string): string => `${LIVE}part/${part}`;
+export const machineKey = (part: string, id: string): string => `${LIVE}machine/${part}/${id}`;
+export const sliceKey = (slice: string): string => `${LIVE}slice/${slice}`;
+export const quotaKey = (team: string): string => `${LIVE}quota/${team}`;
+export const jobKey = (id: string): string => `job/${id}`;
+
+const spec = z.object({
+  id: z.string(),
+  class: z.string(),
+  team: z.string(),
+  kind: z.enum(['batch', 'service']),
+  priority: z.number(),
+  tasks: z.number(),
+  cores: z.number(),
+  accelerators: z.number(),
+  ramGb: z.number(),
+  image: z.string(),
+  imageGb: z.number(),
+  types: z.nullable(z.array(z.string())),
+  zone: z.nullable(z.string()),
+  oneZone: z.boolean(),
+  spread: z.boolean(),
+  spot: z.boolean(),
+  estimateS: z.number(),
+  checkpointS: z.number(),
+  saveS: z.number(),
+  deadlineS: z.nullable(z.number()),
+});
+const node = z.object({ incarnation: z.string() });
+const part = z.object({ owner: z.string(), incarnation: z.string(), token: z.number() });
+const machine = z.object({ endpoint: z.string(), type: z.string(), zone: z.string(), spot: z.boolean() });
+const slice = z.object({ spec, from: z.number(), count: z.number(), settled: z.string(), at: z.number() });
+const quota = z.object({
+  shares: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
+});
+const job = z.object({
+  status: z.enum(['open', 'done', 'cancelled']),
+  tasks: z.number(),
+  open: z.array(z.string()),
+});
+
+export type LiveRecord =
+  | { kind: 'node'; name: string; record: NodeRecord | null }
+  | { kind: 'part'; part: string; record: PartRecord | null }
+  | { kind: 'machine'; part: string; id: string; record: MachineRecord | null }
+  | { kind: 'slice'; part: string; slice: string; record: SliceRecord | null }
+  | { kind: 'quota'; team: string; record: QuotaRecord | null };
+
+/** What a key under `live/` and its value (undefined: removed) say; null for a key of another version. */
+export function readLive(key: string, value: unknown): LiveRecord | null {
+  const [, kind, first, ...rest] = key.split('/');
+  if (first === undefined) return null;
+  const gone = value === undefined;
+  switch (kind) {
+    case 'node':
+      return { kind, name: first, record: gone ? null : z.parse(node, value) };
+    case 'part':
+      return { kind, part: first, record: gone ? null : z.parse(part, value) };
+    case 'machine':
+      return { kind, part: first, id: rest.join('/'), record: gone ? null : z.parse(machine, value) };
+    case 'slice':
+      return {
+        kind,
+        part: first,
+        slice: [first, ...rest].join('/'),
+        record: gone ? null : z.parse(slice, value),
+      };
+    case 'quota':
+      return { kind, team: [first, ...rest].join('/'), record: gone ? null : z.parse(quota, value) };
+    default:
+      return null;
+  }
+}
+
+export function readJob(value: unknown): JobRecord {
+  return z.parse(job, value);
+}
+
+/** The most tasks one slice may hold for its record to stay under the value limit: six bits a character. */
+export function sliceCapacity(valueKb: number): number {
+  const room = Math.max(valueKb * 1024 - SLICE_SPEC_BYTES, 512);
+  return Math.floor(room * 6) - 8;
+}
--- /dev/null
+++ b/src/bookkeeping/slices.ts
@@ -0,0 +1,116 @@
+import type { Int } from '../protocol/json.ts';
+import type { JobSpec } from '../protocol/users.ts';
+import type { SliceRecord } from './records.ts';
+import { TaskSet } from './task-set.ts';
+
+/**
+ * A slice at its part's owner. Each task is settled, held (it may be on a machine that is not fenced
+ * yet), waiting, pausing after a failure, or on a machine.
+ */
+export class Slice {
+  readonly spec: JobSpec;
+  readonly from: number;
+  readonly count: number;
+  readonly at: number;
+  /** Positions that wait for a machine; taken from the end. */
+  readonly waiting: number[] = [];
+  readonly pausing: { position: number; until: number }[] = [];
+  readonly held = new Set<number>();
+  /** Positions on a machine, by the key of their attempt. */
+  readonly placed = new Map<number, string>();
+  readonly settled: TaskSet;
+  /** What the state service has of `settled`. */
+  recorded: TaskSet;
+  withdrawn = false;
+  finishing = false;
+  /** Nothing is recorded before this time. */
+  recordAt = 0;
+  failures = 0;
+
+  constructor(
+    readonly key: string,
+    record: SliceRecord,
+    public version: Int,
+    held: boolean,
+  ) {
+    this.spec = record.spec;
+    this.from = record.from;
+    this.count = record.count;
+    this.at = record.at;
+    this.settled = new TaskSet(record.count, record.settled);
+    this.recorded = new TaskSet(record.count, record.settled);
+    for (let p = record.count - 1; p >= 0; p--) {
+      if (this.settled.has(p)) continue;
+      if (held) this.held.add(p);
+      else this.waiting.push(p);
+    }
+  }
+
+  /** The position of the job's task `index`, or null if this slice does not have it to run. */
+  position(index: number): number | null {
+    const p = index - this.from;
+    return p >= 0 && p < this.count && !this.settled.has(p) ? p : null;
+  }
+
+  has(index: number): boolean {
+    return index >= this.from && index < this.from + this.count;
+  }
+
+  index(position: number): number {
+    return this.from + position;
+  }
+
+  /** Takes the task out of the waits and holds, as it turned out to be on a machine. */
+  place(position: number, attempt: string): void {
+    this.held.delete(position);
+    remove(this.waiting, position);
+    const pause = this.pausing.findIndex((entry) => entry.position === position);
+    if (pause >= 0) this.pausing.splice(pause, 1);
+    this.placed.set(position, attempt);
+  }
+
+  /** The attempt is over without a result: the task waits again, after a pause if one is given. */
+  unplace(position: number, attempt: string, pauseUntil: number | null): void {
+    if (this.placed.get(position) !== attempt) return;
+    this.placed.delete(position);
+    if (this.settled.has(position)) return;
+    if (pauseUntil === null) this.waiting.push(position);
+    else this.pausing.push({ position, until: pauseUntil });
+  }
+
+  settle(position: number): void {
+    this.held.delete(position);
+    remove(this.waiting, position);
+    this.placed.delete(position);
+    this.settled.add(position);
+  }
+
+  release(): void {
+    for (const position of this.held) this.waiting.push(position);
+    this.held.clear();
+  }
+
+  wake(now: number): void {
+    for (let i = this.pausing.length - 1; i >= 0; i--) {
+      const entry = this.pausing[i];
+      if (!entry || entry.until > now) continue;
+      this.pausing.splice(i, 1);
+      this.waiting.push(entry.position);
+    }
+  }
+
+  record(): SliceRecord {
+    return {
+      spec: this.spec,
+      from: this.from,
+      count: this.count,
+      settled: this.settled.encode(),
+      at: this.at,
+    };
+  }
+}
+
+function remove(list: number[], value: number): void {
+  const at = list.lastIndexOf(value);
+  if (at >= 0) list.splice(at, 1);
+}
--- /dev/null
+++ b/src/constants.ts
@@ -0,0 +1,152 @@
+/**
+ * Every constant of the service, with its unit and its reason. What a deployment sets (lease, report
+ * interval, limits) is never here; it is read from the settings file.
+ */
+
+// --- protocol limits ---
+/** Bytes. The protocol's limit of a request body. */
+export const MAX_BODY_BYTES = 64 * 1024;
+/** Tasks. The protocol's limit of a job. */
+export const MAX_TASKS = 100_000;
+/** Characters. Longest text field taken in a submission; keeps a job's record well below a value's limit. */
+export const MAX_TEXT = 400;
+/** Items. Longest list of machine types taken in a submission, for the same reason. */
+export const MAX_TYPES = 64;
+/** Machines. The most the cloud takes in one return. */
+export const RETURN_BATCH = 100;
+/** Machines. The most the cloud rents in one request. */
+export const RENT_BATCH = 50;
+/** Machines. The most the cloud lists in one response. */
+export const LIST_PAGE = 500;
+/** Items. The most the state service lists in one response. */
+export const STATE_PAGE = 1000;
+/** Ratio. By how much two steady clocks may differ: 0.05% each way, doubled for two machines. */
+export const CLOCK_DRIFT = 0.001;
+
+// --- attempts ---
+/** Attempts one token can number before they would run into the next token's. */
+export const ATTEMPTS_PER_TOKEN = 2 ** 20;
+
+// --- state service ---
+/** Milliseconds a call may take before it counts as unanswered; answers normally take under 10 ms. */
+export const STATE_DEADLINE_MS = 1000;
+/** Milliseconds a follow waits for changes. Short, because its return is our proof of contact. */
+export const FOLLOW_HOLD_MS = 1500;
+/** Milliseconds from one follow to the next at least, so that a stream of changes stays in the request limit. */
+export const FOLLOW_GAP_MS = 40;
+/** Milliseconds a node's lease lives. Longer costs time after a crash, shorter costs false takeovers. */
+export const NODE_LEASE_MS = 4000;
+/** Milliseconds between extensions of the node's lease: three tries before it runs out. */
+export const NODE_EXTEND_MS = 1000;
+/** Milliseconds before a failed call is tried again, before jitter. */
+export const RETRY_MS = 250;
+/** Pages. More pages than any deployment has; ends a list that never ends. */
+export const LIVE_PAGE_LIMIT = 10_000;
+/** Ratio of the request and change limits that all nodes together plan to use. */
+export const STATE_SHARE = 0.85;
+/** Milliseconds a user's request may wait for its turn at the state service before it is refused. */
+export const USER_WAIT_MS = 300;
+/** Bytes of a value left for a slice's description, the rest holds its task bits. */
+export const SLICE_SPEC_BYTES = 4096;
+
+// --- ownership ---
+/** Milliseconds between looks at who owns what. */
+export const OWNERSHIP_TICK_MS = 200;
+/** Milliseconds each lower-ranked candidate waits longer before it takes a part over. */
+export const TAKEOVER_STEP_MS = 1500;
+/** Milliseconds a zone's own node must have been up before a part is handed back to it. */
+export const HANDBACK_AFTER_MS = 3000;
+/** Milliseconds of safety added to every reckoning of when a worker's lease is over. */
+export const LEASE_MARGIN_MS = 1500;
+
+// --- workers ---
+/** Milliseconds a direct command may take before its outcome counts as unknown. */
+export const COMMAND_DEADLINE_MS = 2000;
+/** Milliseconds between tries to fence a machine that did not answer. */
+export const FENCE_RETRY_MS = 1000;
+/** Milliseconds a report may wait for a part that is just being taken over; workers give up after 4 s. */
+export const REPORT_HOLD_MS = 1500;
+/** Report intervals of silence after which a machine is asked directly. */
+export const SILENT_REPORTS = 2.2;
+/** Report intervals of silence after which an unanswering machine is returned. */
+export const LOST_REPORTS = 3.2;
+/** Share of a part's machines that may fall silent together before the owner suspects itself. */
+export const SILENT_SHARE = 0.5;
+/** Machines that may fall silent together whatever the share; a small part loses one or two at times. */
+export const SILENT_FEW = 2;
+/** Milliseconds a machine gets no new tasks after the first task that failed on it; doubles each time. */
+export const FAULT_PAUSE_MS = 4000;
+/** Failed tasks in a row, from at least two jobs, after which a machine is drained and returned. */
+export const FAULTS_TO_DRAIN = 2;
+/** Milliseconds before a task that failed is tried again; doubles to the limit below. */
+export const TASK_RETRY_MS = 500;
+/** Milliseconds. The longest pause before a failing task is tried again. */
+export const TASK_RETRY_MAX_MS = 30_000;
+
+// --- bookkeeping of progress ---
+/** Milliseconds between records of a slice's progress; the workers keep results until then. */
+export const PROGRESS_MS = 2500;
+
+// --- renting ---
+/** Milliseconds between looks at how many machines a part needs. */
+export const RENT_TICK_MS = 1000;
+/** Milliseconds a kind of machine is not asked for after the cloud had none. */
+export const NO_CAPACITY_MS = 10_000;
+/** Milliseconds over which the highest need is remembered. Price is no aim; late work weighs more. */
+export const NEED_WINDOW_MS = 300_000;
+/** Ratio of machines kept to the highest need in the window: bursts come several times as large. */
+export const NEED_HEADROOM = 2;
+/** Milliseconds a machine must have been empty before it is returned as unneeded. */
+export const IDLE_RETURN_MS = 300_000;
+/** Boot times after which a machine no longer counts as coming. */
+export const BOOT_LATE = 1.6;
+/** Boot times after which a machine that never came up is deleted. */
+export const BOOT_LOST = 3;
+/** Milliseconds between reads of the machine list. */
+export const LIST_MS = 8000;
+/** Milliseconds between reads of the catalogue once it is known; only prices change. */
+export const CATALOG_MS = 60_000;
+/** Milliseconds a cloud call may take. */
+export const CLOUD_DEADLINE_MS = 3000;
+/** Ratio of the cloud's limit that all nodes together plan to use. */
+export const CLOUD_SHARE = 0.8;
+
+// --- mesh ---
+/** Milliseconds between messages about a part when nothing notable happens. */
+export const MESH_BEAT_MS = 1000;
+/** Load, in machines' worth. A part's average must move by this for a message of its own. */
+export const AVERAGE_STEP = 0.1;
+/** Milliseconds a connection to a sibling may take. */
+export const MESH_CONNECT_MS = 2000;
+/** Milliseconds before a lost connection to a sibling is tried again. */
+export const MESH_RETRY_MS = 500;
+/** Bytes. The largest frame between siblings; a user's body and its envelope fit with room. */
+export const MESH_FRAME_BYTES = 1024 * 1024;
+/** Milliseconds a sibling has to answer a request passed on to it. */
+export const FORWARD_DEADLINE_MS = 900;
+
+// --- limits of teams ---
+/** Milliseconds between shifts of one team's limit from a part to another. */
+export const QUOTA_SHIFT_MS = 500;
+
+// --- HTTP ---
+/** Milliseconds an idle connection from a user or worker is kept; users poll every 5 s. */
+export const KEEP_ALIVE_MS = 120_000;
+/** Connections kept open per outside address. */
+export const CLIENT_SOCKETS = 24;
+/** Seconds a user is told to wait when the service cannot decide yet. */
+export const RETRY_AFTER_S = 1;
+
+// --- jobs ---
+/** Jobs over whose final state is kept in memory to answer polls without a read. */
+export const FINAL_CACHE = 20_000;
+/** Milliseconds without proof of contact after which a sibling is asked before the state service. */
+export const CONTACT_STALE_MS = 3000;
+/** Groups in which the tasks of a very large job are shared out, so that it does not hold the process up. */
+export const SHARING_GROUPS = 1000;
+/** Tries of a withdrawal against owners that finish slices of the job at the same time. */
+export const WITHDRAW_TRIES = 8;
+/** Milliseconds a machine may be listed as running without ever reporting before it is returned. */
+export const MUTE_MS = 45_000;
+/** Milliseconds after which a rented machine that no list shows is taken for gone, beyond twice the list's lag. */
+export const UNLISTED_MS = 20_000;
--- /dev/null
+++ b/src/coordination/cloud-calls.ts
@@ -0,0 +1,98 @@
+import { CLOUD_SHARE, RETRY_MS, RETURN_BATCH } from '../constants.ts';
+import type { Cloud, ListedMachine, RentResult } from '../protocol/cloud.ts';
+import { NoAnswer } from '../transport/http-client.ts';
+import type { Clock } from '../transport/clock.ts';
+import { Pace } from '../transport/pace.ts';
+import type { Log } from '../transport/routine.ts';
+
+/** The cloud's calls of this node, kept below its share of the limit; returns go first and are batched. */
+export class CloudCalls {
+  private readonly pace: Pace;
+  private readonly queued = new Map<string, (gone: boolean) => void>();
+  private giving = false;
+  private requests = 0;
+
+  constructor(
+    private readonly cloud: Cloud,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly signal: AbortSignal,
+    /** Of this node's incarnation, so that no request name is ever used twice. */
+    private readonly requestPrefix: string,
+    limits: { rps: number; nodes: number },
+  ) {
+    const share = (limits.rps * CLOUD_SHARE) / limits.nodes;
+    this.pace = new Pace(clock, share, Math.max(1, share * 2));
+  }
+
+  /** Rents under a new name, and repeats the same name for as long as no answer tells what became of it. */
+  async rent(what: { type: string; zone: string; spot: boolean; count: number }): Promise<RentResult> {
+    const name = `${this.requestPrefix}-${String(++this.requests)}`;
+    while (!this.signal.aborted) {
+      await this.turn(1);
+      try {
+        const result = await this.cloud.rent({ name, ...what });
+        if (result.kind !== 'refused') return result;
+      } catch (error) {
+        if (!(error instanceof NoAnswer)) throw error;
+      }
+      await this.clock.sleep(RETRY_MS * 4, this.signal);
+    }
+    return { kind: 'refused' };
+  }
+
+  async list(): Promise<ListedMachine[]> {
+    const all: ListedMachine[] = [];
+    let after: string | null = null;
+    for (;;) {
+      await this.turn(1);
+      const page = await this.cloud.list(after);
+      all.push(...page.machines);
+      after = page.machines.at(-1)?.id ?? null;
+      if (!page.more || after === null) return all;
+    }
+  }
+
+  async catalog(): ReturnType<Cloud['catalog']> {
+    await this.turn(1);
+    return this.cloud.catalog();
+  }
+
+  /** True once the machine and all on it are certainly gone; false only when this process ends. */
+  giveBack(machine: string): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.queued.set(machine, resolve);
+      if (this.giving) return;
+      this.giving = true;
+      setImmediate(() => void this.giveAll());
+    });
+  }
+
+  private async giveAll(): Promise<void> {
+    while (this.queued.size > 0 && !this.signal.aborted) {
+      const names = [...this.queued.keys()].slice(0, RETURN_BATCH);
+      await this.turn(0);
+      try {
+        await this.cloud.giveBack(names);
+        for (const name of names) {
+          this.queued.get(name)?.(true);
+          this.queued.delete(name);
+        }
+      } catch (error) {
+        this.log.debug({ err: String(error) }, 'return not confirmed yet');
+        await this.clock.sleep(RETRY_MS * 2, this.signal);
+      }
+    }
+    this.giving = false;
+  }
+
+  /** Waits until a call may be made; all but returns leave one call's room for a return. */
+  private async turn(reserve: number): Promise<void> {
+    for (;;) {
+      const wait = this.pace.wait(1, reserve);
+      if (wait === 0 || this.signal.aborted) break;
+      await this.clock.sleep(wait, this.signal);
+    }
+    this.pace.take(1);
+  }
+}
--- /dev/null
+++ b/src/coordination/controller.ts
@@ -0,0 +1,505 @@
+import {
+  CATALOG_MS,
+  CLOUD_DEADLINE_MS,
+  CLOCK_DRIFT,
+  FORWARD_DEADLINE_MS,
+  LEASE_MARGIN_MS,
+  LIST_MS,
+  MESH_BEAT_MS,
+  AVERAGE_STEP,
+  OWNERSHIP_TICK_MS,
+  QUOTA_SHIFT_MS,
+  RENT_TICK_MS,
+  REPORT_HOLD_MS,
+  RETRY_MS,
+  STATE_DEADLINE_MS,
+} from '../constants.ts';
+import {
+  type LiveRecord,
+  type MachineRecord,
+  quotaKey,
+  type QuotaRecord,
+  type SliceRecord,
+} from '../bookkeeping/records.ts';
+import { Replica, Store } from '../bookkeeping/store.ts';
+import { TaskSet } from '../bookkeeping/task-set.ts';
+import { cloudClient, type MachineType } from '../protocol/cloud.ts';
+import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
+import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
+import { decodeMesh, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
+import { stateApi } from '../protocol/state.ts';
+import type { JobSpec, UserAnswer } from '../protocol/users.ts';
+import type { Report } from '../protocol/workers.ts';
+import type { Settings } from '../settings.ts';
+import type { Clock } from '../transport/clock.ts';
+import type { HttpClient } from '../transport/http-client.ts';
+import type { Random } from '../transport/random.ts';
+import { type Log, routine } from '../transport/routine.ts';
+import { Averages } from './averages.ts';
+import { CloudCalls } from './cloud-calls.ts';
+import { Jobs, type UserOp } from './jobs.ts';
+import { Limits } from './limits.ts';
+import { Membership } from './membership.ts';
+import { Part } from './part.ts';
+import { partMap, type PartMap } from './parts.ts';
+import { Renting } from './renting.ts';
+
+export interface ControllerDeps {
+  settings: Settings;
+  /** New at every start of the process. */
+  incarnation: string;
+  clock: Clock;
+  wallClock: () => number;
+  random: Random;
+  log: Log;
+  http: HttpClient;
+  sendToSibling: (peer: string, message: MeshMessage) => boolean;
+  connectedSiblings: () => string[];
+  signal: AbortSignal;
+}
+
+interface Owned {
+  part: Part;
+  renting: Renting;
+  abort: AbortController;
+  told: { idle: boolean; average: number; at: number };
+}
+
+interface KnownSlice {
+  record: SliceRecord;
+  left: number;
+}
+
+/** One controller node: wires the replica, the membership, the owned parts and the users' requests together. */
+export class Controller implements ApiHandlers {
+  private readonly parts: PartMap;
+  private readonly store: Store;
+  private readonly replica: Replica;
+  private readonly membership: Membership;
+  private readonly limits: Limits;
+  private readonly averages = new Averages();
+  private readonly jobs: Jobs;
+  private readonly cloud: CloudCalls;
+  private readonly owned = new Map<string, Owned>();
+  private readonly slices = new Map<string, KnownSlice & { version: Int }>();
+  private readonly machines = new Map<string, Map<string, MachineRecord>>();
+  private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
+  private readonly proofMs: number;
+  private asks = 0;
+  private types: MachineType[] | null = null;
+  private guaranteed: { at: number; jobs: Set<string> } = { at: -Infinity, jobs: new Set() };
+  private loaded = false;
+
+  constructor(private readonly deps: ControllerDeps) {
+    const { settings, clock, log, http, signal, random } = deps;
+    const nodes = settings.siblings.length + 1;
+    this.parts = partMap(settings.zones, nodes);
+    const api = stateApi(http, settings.state, STATE_DEADLINE_MS, signal);
+    this.store = new Store(api, clock, { rps: settings.stateRps, writeRps: settings.stateWriteRps, nodes });
+    this.replica = new Replica(
+      this.store,
+      clock,
+      log,
+      (change, version) => this.onChange(change, version),
+      () => this.onCaughtUp(),
+    );
+    this.membership = new Membership({
+      self: { name: settings.node, zone: settings.zone, incarnation: deps.incarnation },
+      siblings: settings.siblings,
+      clock,
+      log,
+      store: this.store,
+      replica: this.replica,
+      parts: this.parts,
+    });
+    this.limits = new Limits(settings.teams, this.parts.names);
+    this.cloud = new CloudCalls(
+      cloudClient(http, settings.cloud, CLOUD_DEADLINE_MS, signal),
+      clock,
+      log,
+      signal,
+      `${settings.node}-${deps.incarnation}`,
+      { rps: settings.cloudRps, nodes },
+    );
+    this.jobs = new Jobs({
+      settings,
+      clock,
+      wallClock: deps.wallClock,
+      random,
+      store: this.store,
+      replica: this.replica,
+      averages: this.averages,
+      parts: this.parts,
+      catalog: () => this.types,
+      progress: (job) => this.progress(job),
+      passOn: (op, body) => this.passOn(op, body),
+    });
+    // From its last proof, an owner may answer reports for so long that the lease it renews last, and
+    // with it every task of a job cancelled since, is over within the time a cancellation has.
+    this.proofMs = Math.max(
+      0,
+      settings.cancelMs / (1 + CLOCK_DRIFT) - settings.leaseMs * (1 + CLOCK_DRIFT) - 2 * LEASE_MARGIN_MS,
+    );
+  }
+
+  /** Runs until the signal is aborted. */
+  async run(): Promise<void> {
+    const { clock, log, signal } = this.deps;
+    const duty = { clock, log, signal };
+    await Promise.all([
+      this.replica.run(signal),
+      this.membership.run(signal),
+      routine('parts', OWNERSHIP_TICK_MS, duty, () => this.tickParts()),
+      routine('renting', RENT_TICK_MS, duty, () => this.owned.forEach((o) => o.renting.tick())),
+      routine('machine list', LIST_MS, duty, () => this.readMachines()),
+      this.keepCatalog(),
+      routine('limits', QUOTA_SHIFT_MS, duty, () => this.shiftLimits()),
+    ]);
+  }
+
+  // --- the replica ---
+
+  private onChange(change: LiveRecord, version: Int): void {
+    switch (change.kind) {
+      case 'node':
+        return this.membership.onNode(change.name, change.record);
+      case 'part':
+        this.membership.onPart(change.part, change.record);
+        // While loading, the part's machines and slices are still to come.
+        if (this.loaded) this.checkOwned(change.part);
+        return;
+      case 'machine': {
+        const known = this.machines.get(change.part) ?? new Map<string, MachineRecord>();
+        this.machines.set(change.part, known);
+        if (change.record) known.set(change.id, change.record);
+        else known.delete(change.id);
+        return;
+      }
+      case 'slice': {
+        const { slice: key, record } = change;
+        if (record) {
+          const left = record.count - new TaskSet(record.count, record.settled).size;
+          this.slices.set(key, { record, version, left });
+        } else this.slices.delete(key);
+        this.owned.get(change.part)?.part.onSlice(key, record, version);
+        return;
+      }
+      case 'quota':
+        this.limits.set(change.team, change.record);
+        this.owned.forEach((o) => o.part.schedulePlacing());
+    }
+  }
+
+  private onCaughtUp(): void {
+    if (this.loaded) return;
+    this.loaded = true;
+    this.membership.onCaughtUp();
+    for (const part of this.parts.names) this.checkOwned(part);
+    this.deps.log.info({ slices: this.slices.size }, 'records read');
+  }
+
+  /** Starts or ends this node's ownership of the part, as the replica shows it at this very revision. */
+  private checkOwned(name: string): void {
+    const record = this.membership.owner(name);
+    const mine = record !== null && this.membership.isSelf(record);
+    const current = this.owned.get(name);
+    if (current && (!mine || current.part.token !== record.token)) {
+      current.abort.abort();
+      this.owned.delete(name);
+      this.deps.log.info({ part: name, to: record?.owner ?? null }, 'part given up');
+    }
+    if (!mine || this.owned.has(name)) return;
+    const { settings, clock, random, log, http } = this.deps;
+    const abort = new AbortController();
+    const slices = [...this.slices].filter(([key]) => key.startsWith(`${name}/`));
+    const part = new Part(
+      name,
+      record.token,
+      {
+        settings,
+        clock,
+        random,
+        log,
+        http,
+        store: this.store,
+        replica: this.replica,
+        limits: this.limits,
+        typeOf: (type) => this.types?.find((t) => t.name === type) ?? null,
+        withinGuarantee: (job) => this.guaranteedJobs().has(job),
+        mayAct: () => this.mayAct(),
+        proofMs: this.proofMs,
+        onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
+      },
+      AbortSignal.any([this.deps.signal, abort.signal]),
+      {
+        machines: [...(this.machines.get(name) ?? [])],
+        slices: slices.map(([key, s]) => [key, s.record, s.version]),
+      },
+    );
+    const renting = new Renting(part, this.parts.zoneOf(name), {
+      settings,
+      clock,
+      log,
+      cloud: this.cloud,
+      catalog: () => this.types,
+    });
+    this.owned.set(name, { part, renting, abort, told: { idle: false, average: -1, at: -Infinity } });
+    log.info(
+      { part: name, token: record.token, machines: part.machines.size, slices: slices.length },
+      'part owned',
+    );
+    part.tick();
+  }
+
+  private mayAct(): boolean {
+    return this.deps.clock.now() - this.replica.provenAt < this.proofMs;
+  }
+
+  // --- users ---
+
+  submit(spec: JobSpec): Promise<UserAnswer> {
+    return this.jobs.submit(spec);
+  }
+  status(id: string): Promise<UserAnswer> {
+    return this.jobs.status(id);
+  }
+  withdraw(id: string): Promise<UserAnswer> {
+    return this.jobs.withdraw(id);
+  }
+
+  ready(): boolean {
+    return this.loaded && this.types !== null;
+  }
+
+  private progress(job: string): { left: number; running: number } {
+    let left = 0;
+    for (const slice of this.slices.values()) if (slice.record.spec.id === job) left += slice.left;
+    let running = 0;
+    for (const message of this.averages.all()) running += message.running[job] ?? 0;
+    return { left, running };
+  }
+
+  /** Jobs that fit, with the earlier unfinished jobs of their team, into its guarantee. */
+  private guaranteedJobs(): Set<string> {
+    const now = this.deps.clock.now();
+    if (now - this.guaranteed.at < RETRY_MS) return this.guaranteed.jobs;
+    const jobs = new Map<string, { team: string; at: number; cores: number; accelerators: number }>();
+    for (const { record, left } of this.slices.values()) {
+      const { spec } = record;
+      const job = jobs.get(spec.id) ?? { team: spec.team, at: record.at, cores: 0, accelerators: 0 };
+      job.cores += left * spec.cores;
+      job.accelerators += left * spec.accelerators;
+      jobs.set(spec.id, job);
+    }
+    const sums = new Map<string, { cores: number; accelerators: number }>();
+    const within = new Set<string>();
+    for (const [id, job] of [...jobs].sort((a, b) => a[1].at - b[1].at)) {
+      const sum = sums.get(job.team) ?? { cores: 0, accelerators: 0 };
+      sums.set(job.team, sum);
+      sum.cores += job.cores;
+      sum.accelerators += job.accelerators;
+      const guarantee = this.limits.guarantee(job.team);
+      if (
+        sum.cores <= guarantee.cores &&
+        (job.accelerators === 0 || sum.accelerators <= guarantee.accelerators)
+      ) {
+        within.add(id);
+      }
+    }
+    this.guaranteed = { at: now, jobs: within };
+    return within;
+  }
+
+  // --- workers ---
+
+  async report(report: Report): Promise<ReportAnswer> {
+    const name = this.parts.partOf({ id: report.machine, zone: report.zone });
+    if (name === null) return { kind: 'unready' };
+    const began = this.deps.clock.now();
+    for (;;) {
+      const owned = this.owned.get(name);
+      // A worker that has seen a higher token would drop the answer and let its lease run out here.
+      if (owned && report.token <= owned.part.token && this.mayAct()) {
+        return { kind: 'orders', token: owned.part.token, orders: owned.part.onReport(report) };
+      }
+      const record = this.membership.owner(name);
+      if (record && record.owner !== this.deps.settings.node && this.membership.up().includes(record.owner)) {
+        return { kind: 'elsewhere', node: record.owner };
+      }
+      // The part is between two owners, or its records are being read: most often over in a moment.
+      if (this.deps.clock.now() - began >= REPORT_HOLD_MS) return { kind: 'elsewhere', node: null };
+      await this.deps.clock.sleep(RETRY_MS, this.deps.signal);
+    }
+  }
+
+  // --- siblings ---
+
+  onConnect(): void {
+    for (const owned of this.owned.values()) owned.told.at = -Infinity;
+  }
+
+  onMessage(from: string, raw: unknown): void {
+    const message = decodeMesh(raw);
+    switch (message?.kind) {
+      case 'part':
+        return this.averages.set(message);
+      case 'ask':
+        return void this.answerSibling(from, message);
+      case 'answer': {
+        const status = message.status as UserAnswer['status'];
+        const answer = message.status === 0 ? null : { status, body: parseJson(message.body) as object };
+        this.asked.get(message.id)?.(answer);
+        return;
+      }
+      case undefined:
+        this.deps.log.debug({ from }, 'unknown message');
+    }
+  }
+
+  private async answerSibling(from: string, ask: Extract<MeshMessage, { kind: 'ask' }>): Promise<void> {
+    const answer = await this.jobs
+      .here(ask.op, parseJson(ask.body) as JobSpec | string)
+      .catch(
+        (error: unknown) => (this.deps.log.error({ err: String(error) }, 'passed-on request failed'), null),
+      );
+    const body = answer ? stringifyJson(answer.body) : '';
+    this.deps.sendToSibling(from, { kind: 'answer', id: ask.id, status: answer?.status ?? 0, body });
+  }
+
+  private passOn(op: UserOp, body: JobSpec | string): Promise<UserAnswer | null> {
+    const peers = this.deps.connectedSiblings();
+    if (peers.length === 0) return Promise.resolve(null);
+    const id = ++this.asks;
+    return new Promise((resolve) => {
+      let open = peers.length;
+      const settle = (answer: UserAnswer | null): void => {
+        if (answer === null && --open > 0) return;
+        this.asked.delete(id);
+        resolve(answer);
+      };
+      this.asked.set(id, settle);
+      for (const peer of peers) {
+        if (!this.deps.sendToSibling(peer, { kind: 'ask', id, op, body: stringifyJson(body) })) settle(null);
+      }
+      void this.deps.clock.sleep(FORWARD_DEADLINE_MS, this.deps.signal).then(() => {
+        open = 0;
+        settle(null);
+      });
+    });
+  }
+
+  private tell(name: string, owned: Owned): void {
+    const now = this.deps.clock.now();
+    const { part, told } = owned;
+    const summary = part.summary();
+    const idle = part.idleCount;
+    const due = now - told.at >= MESH_BEAT_MS;
+    // The design's events: the last idle machine comes or goes, or the average moves a set step.
+    if (!due && idle > 0 === told.idle && Math.abs(summary.average - told.average) < AVERAGE_STEP) return;
+    owned.told = { idle: idle > 0, average: summary.average, at: now };
+    const message: PartMessage = {
+      kind: 'part',
+      part: name,
+      token: part.token,
+      idle,
+      wants: Object.fromEntries(part.wants),
+      ...summary,
+    };
+    this.averages.set(message);
+    for (const sibling of this.deps.settings.siblings) this.deps.sendToSibling(sibling.name, message);
+  }
+
+  // --- duties ---
+
+  private tickParts(): void {
+    for (const [name, owned] of this.owned) {
+      owned.part.tick();
+      this.tell(name, owned);
+    }
+  }
+
+  private async keepCatalog(): Promise<void> {
+    const { clock, log, signal } = this.deps;
+    while (!signal.aborted) {
+      try {
+        this.types = await this.cloud.catalog();
+      } catch (error) {
+        log.debug({ err: String(error) }, 'no catalogue');
+      }
+      await clock.sleep(this.types === null ? RETRY_MS : CATALOG_MS, signal);
+    }
+  }
+
+  private async readMachines(): Promise<void> {
+    if (this.owned.size === 0) return;
+    const readAt = this.deps.clock.now();
+    const machines = await this.cloud.list().catch((error: unknown) => {
+      this.deps.log.debug({ err: String(error) }, 'machine list not read');
+      return null;
+    });
+    if (!machines) return;
+    for (const [name, owned] of this.owned) {
+      owned.renting.onList(
+        machines.filter((m) => this.parts.partOf(m) === name),
+        readAt,
+      );
+    }
+  }
+
+  /** Gives share of teams' limits up to parts that lack it: given up first, taken after the commit. */
+  private async shiftLimits(): Promise<void> {
+    for (const [name, { part }] of this.owned) {
+      for (const message of this.averages.all()) {
+        if (message.part === name) continue;
+        for (const [team, want] of Object.entries(message.wants)) {
+          await this.shiftLimit(part, message.part, team, want.cores, want.accelerators);
+        }
+      }
+    }
+  }
+
+  private async shiftLimit(
+    part: Part,
+    to: string,
+    team: string,
+    cores: number,
+    accelerators: number,
+  ): Promise<void> {
+    if (!this.limits.limited(team) || !part.active) return;
+    const key = quotaKey(team);
+    const split = this.limits.split(team);
+    const own = split.shares[part.name];
+    const other = split.shares[to];
+    if (!own || !other || part.holdsBack(team)) return;
+    const used = part.usage(team);
+    const lacks = part.wants.get(team);
+    const spare = (share: number, use: number, lack: number, want: number): number =>
+      Math.max(0, Math.min(want, share - use - lack));
+    const give = {
+      cores: spare(own.cores, used.cores, lacks?.cores ?? 0, cores),
+      accelerators: spare(own.accelerators, used.accelerators, lacks?.accelerators ?? 0, accelerators),
+    };
+    if (give.cores <= 0 && give.accelerators <= 0) return;
+    const value: QuotaRecord = {
+      shares: {
+        ...split.shares,
+        [part.name]: { cores: own.cores - give.cores, accelerators: own.accelerators - give.accelerators },
+        [to]: { cores: other.cores + give.cores, accelerators: other.accelerators + give.accelerators },
+      },
+    };
+    const conditions = [part.ownership(), { key, version: this.replica.version(key) }];
+    part.holdBack(team, give);
+    try {
+      const result = await this.store.txn(conditions, [{ op: 'put', key, value }], 'work');
+      if (result.kind !== 'committed') part.holdBack(team, null);
+      this.deps.log.debug({ team, from: part.name, to, ...give, result: result.kind }, 'limit shifted');
+    } catch {
+      // Unknown: the share stays held back until the condition's version has moved on.
+    }
+  }
+
+  /** For tests and logs. */
+  get ownedParts(): string[] {
+    return [...this.owned.keys()];
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs.ts
@@ -0,0 +1,248 @@
+import { CONTACT_STALE_MS, FINAL_CACHE, SHARING_GROUPS, WITHDRAW_TRIES } from '../constants.ts';
+import { fits } from '../bookkeeping/machines.ts';
+import {
+  jobKey,
+  type JobRecord,
+  readJob,
+  sliceCapacity,
+  sliceKey,
+  type SliceRecord,
+} from '../bookkeeping/records.ts';
+import type { Replica, Store } from '../bookkeeping/store.ts';
+import type { MachineType } from '../protocol/cloud.ts';
+import { type Condition, StateRefused, type Write } from '../protocol/state.ts';
+import {
+  answers,
+  encodeState,
+  encodeView,
+  type JobSpec,
+  type JobView,
+  type UserAnswer,
+} from '../protocol/users.ts';
+import type { Settings } from '../settings.ts';
+import type { Clock } from '../transport/clock.ts';
+import { NoAnswer } from '../transport/http-client.ts';
+import type { Random } from '../transport/random.ts';
+import type { Averages } from './averages.ts';
+import type { PartMap } from './parts.ts';
+
+export type UserOp = 'submit' | 'status' | 'withdraw';
+
+export interface JobsContext {
+  settings: Settings;
+  clock: Clock;
+  /** Time of day, milliseconds. */
+  wallClock: () => number;
+  random: Random;
+  store: Store;
+  replica: Replica;
+  averages: Averages;
+  parts: PartMap;
+  catalog: () => MachineType[] | null;
+  /** Tasks left of the job and tasks on machines, as far as known here. */
+  progress: (job: string) => { left: number; running: number };
+  /** Asks a sibling that may reach the state service; null if none answered. */
+  passOn: (op: UserOp, body: JobSpec | string) => Promise<UserAnswer | null>;
+}
+
+/** What users ask. Only a read made for the request may say that a job is not over. */
+export class Jobs {
+  private readonly over = new Map<string, 'done' | 'cancelled'>();
+
+  constructor(private readonly context: JobsContext) {}
+
+  submit(spec: JobSpec): Promise<UserAnswer> {
+    return this.elsewhereIfCut('submit', spec, () => this.submitHere(spec));
+  }
+
+  status(id: string): Promise<UserAnswer> {
+    return this.elsewhereIfCut('status', id, () => this.statusHere(id));
+  }
+
+  withdraw(id: string): Promise<UserAnswer> {
+    return this.elsewhereIfCut('withdraw', id, () => this.withdrawHere(id));
+  }
+
+  /** Carries a request out with this node's own contact; null where the state service does not answer. */
+  async here(op: UserOp, body: JobSpec | string): Promise<UserAnswer | null> {
+    try {
+      if (typeof body !== 'string') return await this.submitHere(body);
+      return op === 'withdraw' ? await this.withdrawHere(body) : await this.statusHere(body);
+    } catch (error) {
+      if (error instanceof StateRefused || error instanceof NoAnswer) return null;
+      throw error;
+    }
+  }
+
+  /** A node that alone has lost the state service passes requests on; if no one has it, the user is told at once. */
+  private async elsewhereIfCut(
+    op: UserOp,
+    body: JobSpec | string,
+    here: () => Promise<UserAnswer>,
+  ): Promise<UserAnswer> {
+    const id = typeof body === 'string' ? body : body.id;
+    const over = this.over.get(id);
+    if (over) return this.final(op, id, over);
+    const stale = this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
+    if (stale) {
+      const passed = await this.context.passOn(op, body);
+      if (passed) return passed;
+    }
+    try {
+      return await here();
+    } catch (error) {
+      if (!(error instanceof StateRefused) && !(error instanceof NoAnswer)) throw error;
+      const passed = stale ? null : await this.context.passOn(op, body);
+      return passed ?? answers.undecided;
+    }
+  }
+
+  private final(op: UserOp, id: string, status: 'done' | 'cancelled'): UserAnswer {
+    if (op !== 'status') return { status: 200, body: encodeState(id, status) };
+    return { status: 200, body: encodeView({ id, status, done: 0, running: 0 }) };
+  }
+
+  private remember(id: string, status: 'done' | 'cancelled'): void {
+    this.over.set(id, status);
+    if (this.over.size <= FINAL_CACHE) return;
+    for (const oldest of this.over.keys()) {
+      this.over.delete(oldest);
+      break;
+    }
+  }
+
+  private async read(id: string): Promise<{ job: JobRecord; condition: Condition } | null> {
+    const entry = await this.context.store.get(jobKey(id), 'user');
+    if (!entry) return null;
+    const job = readJob(entry.value);
+    if (job.status !== 'open') this.remember(id, job.status);
+    return { job, condition: { key: entry.key, version: entry.version } };
+  }
+
+  private view(id: string, job: JobRecord): JobView {
+    if (job.status !== 'open') {
+      return { id, status: job.status, done: job.status === 'done' ? job.tasks : 0, running: 0 };
+    }
+    const { left, running } = this.context.progress(id);
+    const done = Math.max(0, job.tasks - Math.max(left, running));
+    return { id, status: running > 0 ? 'running' : 'queued', done, running };
+  }
+
+  private async statusHere(id: string): Promise<UserAnswer> {
+    const found = await this.read(id);
+    return found ? { status: 200, body: encodeView(this.view(id, found.job)) } : answers.notFound;
+  }
+
+  private async submitHere(spec: JobSpec): Promise<UserAnswer> {
+    const catalog = this.context.catalog();
+    const never = catalog ? this.neverRuns(spec, catalog) : null;
+    if (!catalog || never !== null) {
+      const known = await this.read(spec.id);
+      if (known) return { status: 200, body: encodeView(this.view(spec.id, known.job)) };
+      return never === null ? answers.undecided : { status: 422, body: { error: never } };
+    }
+    const slices = this.shareOut(spec, catalog);
+    const job: JobRecord = { status: 'open', tasks: spec.tasks, open: slices.map((s) => s.key) };
+    const writes: Write[] = [
+      { op: 'put', key: jobKey(spec.id), value: job },
+      ...slices.map((s): Write => ({ op: 'put', key: sliceKey(s.key), value: s.record })),
+    ];
+    try {
+      const result = await this.context.store.txn([{ key: jobKey(spec.id), version: 0 }], writes, 'user');
+      if (result.kind === 'committed') return { status: 201, body: encodeState(spec.id, 'queued') };
+    } catch (error) {
+      // Unknown whether it was applied: only what is read back may be told.
+      if (!(error instanceof NoAnswer)) throw error;
+    }
+    const known = await this.read(spec.id);
+    return known ? { status: 200, body: encodeView(this.view(spec.id, known.job)) } : answers.undecided;
+  }
+
+  /** Why the job can never run, or null if it can. */
+  private neverRuns(spec: JobSpec, catalog: MachineType[]): string | null {
+    const team = this.context.settings.teams.get(spec.team);
+    if (!team) return 'unknown team';
+    if (!catalog.some((type) => this.zonesFor(spec, type).length > 0))
+      return 'a task fits no allowed machine type';
+    const atOnce = spec.kind === 'service' ? spec.tasks : 1;
+    if (spec.cores * atOnce > team.maxCores || spec.accelerators * atOnce > team.maxAccelerators) {
+      return "needs more than the team's limit";
+    }
+    return null;
+  }
+
+  private zonesFor(spec: JobSpec, type: MachineType): string[] {
+    if (spec.types !== null && !spec.types.includes(type.name)) return [];
+    if (!fits(spec, type)) return [];
+    return type.zones.filter(
+      (zone) => this.context.settings.zones.includes(zone) && (spec.zone === null || spec.zone === zone),
+    );
+  }
+
+  /**
+   * The design's choice for every task, within what the job's zone rules allow. Settling those here, by
+   * which tasks a part is given, makes them hold whatever the parts do later.
+   */
+  private shareOut(spec: JobSpec, catalog: MachineType[]): { key: string; record: SliceRecord }[] {
+    const { averages, parts, random, settings } = this.context;
+    const zones = new Set(catalog.flatMap((type) => this.zonesFor(spec, type)));
+    let candidates = parts.names.filter((part) => zones.has(parts.zoneOf(part)));
+    const perZone = spec.spread ? Math.ceil(spec.tasks / 2) : spec.tasks;
+    const capacity = sliceCapacity(settings.valueKb);
+    // One transaction holds the job and its slices, so a job is in as many parts as that leaves room for.
+    const chunks = Math.max(2, settings.txnOps - 1 - Math.ceil(spec.tasks / capacity));
+    while (candidates.length > chunks) candidates.splice(random.below(candidates.length), 1);
+    if (spec.oneZone) candidates = [averages.choose(candidates, random)];
+    const counts = new Map<string, number>();
+    const inZone = new Map<string, number>();
+    const group = Math.ceil(spec.tasks / SHARING_GROUPS);
+    for (let given = 0; given < spec.tasks;) {
+      const open = candidates.filter((part) => (inZone.get(parts.zoneOf(part)) ?? 0) < perZone);
+      // Where a spread job has one zone only, nothing better can be done than to use it up to its half.
+      const part = open.length > 0 ? averages.choose(open, random) : candidates[0];
+      if (part === undefined) throw new Error('no part to share out to');
+      const zone = parts.zoneOf(part);
+      const left = open.length > 0 ? perZone - (inZone.get(zone) ?? 0) : spec.tasks;
+      const count = Math.min(group, spec.tasks - given, left);
+      counts.set(part, (counts.get(part) ?? 0) + count);
+      inZone.set(zone, (inZone.get(zone) ?? 0) + count);
+      given += count;
+    }
+    const at = this.context.wallClock();
+    const slices: { key: string; record: SliceRecord }[] = [];
+    let from = 0;
+    for (const [part, total] of counts) {
+      for (let done = 0, chunk = 0; done < total; chunk++) {
+        const count = Math.min(capacity, total - done);
+        slices.push({
+          key: `${part}/${spec.id}/${String(chunk)}`,
+          record: { spec, from, count, settled: '', at },
+        });
+        from += count;
+        done += count;
+      }
+    }
+    return slices;
+  }
+
+  private async withdrawHere(id: string): Promise<UserAnswer> {
+    for (let tries = 0; tries < WITHDRAW_TRIES; tries++) {
+      const found = await this.read(id);
+      if (!found) return answers.notFound;
+      const { job, condition } = found;
+      if (job.status !== 'open') return { status: 200, body: encodeState(id, job.status) };
+      const result = await this.context.store.txn(
+        [condition],
+        [
+          { op: 'put', key: condition.key, value: { ...job, status: 'cancelled', open: [] } },
+          ...job.open.map((slice): Write => ({ op: 'delete', key: sliceKey(slice) })),
+        ],
+        'user',
+      );
+      if (result.kind !== 'committed') continue; // an owner finished a slice meanwhile
+      this.remember(id, 'cancelled');
+      return { status: 200, body: encodeState(id, 'cancelled') };
+    }
+    return answers.undecided;
+  }
+}
--- /dev/null
+++ b/src/coordination/part.ts
@@ -0,0 +1,819 @@
+import {
+  ATTEMPTS_PER_TOKEN,
+  CLOCK_DRIFT,
+  COMMAND_DEADLINE_MS,
+  FAULT_PAUSE_MS,
+  FAULTS_TO_DRAIN,
+  FENCE_RETRY_MS,
+  LEASE_MARGIN_MS,
+  PROGRESS_MS,
+  RETRY_MS,
+  SILENT_REPORTS,
+  TASK_RETRY_MAX_MS,
+  TASK_RETRY_MS,
+} from '../constants.ts';
+import { type Attempt, booked, type Machine, newMachine, room } from '../bookkeeping/machines.ts';
+import {
+  type Amounts,
+  jobKey,
+  machineKey,
+  type MachineRecord,
+  partKey,
+  quotaKey,
+  readJob,
+  sliceKey,
+  type SliceRecord,
+} from '../bookkeeping/records.ts';
+import { Slice } from '../bookkeeping/slices.ts';
+import type { Replica, Store } from '../bookkeeping/store.ts';
+import type { MachineType } from '../protocol/cloud.ts';
+import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
+import type { Condition, Write } from '../protocol/state.ts';
+import {
+  decodeReport,
+  encodeCommands,
+  type EndReason,
+  type Order,
+  parseTaskName,
+  type Report,
+  taskName,
+  workerPaths,
+} from '../protocol/workers.ts';
+import type { Settings } from '../settings.ts';
+import type { Clock } from '../transport/clock.ts';
+import { type HttpClient, NoAnswer } from '../transport/http-client.ts';
+import type { Random } from '../transport/random.ts';
+import type { Log } from '../transport/routine.ts';
+import type { Limits } from './limits.ts';
+import { pick } from './placement.ts';
+
+export interface PartContext {
+  settings: Settings;
+  clock: Clock;
+  random: Random;
+  log: Log;
+  http: HttpClient;
+  store: Store;
+  replica: Replica;
+  limits: Limits;
+  typeOf: (name: string) => MachineType | null;
+  /** Whether the job is one of the first of its team that fit into its guarantee together. */
+  withinGuarantee: (job: string) => boolean;
+  /** Whether contact with the state service is fresh enough to act as an owner. */
+  mayAct: () => boolean;
+  /** How long after its last proof of contact an owner may still answer reports. */
+  proofMs: number;
+  /** A machine carries a higher token than this part's: someone else owns it. */
+  onOutdated: (part: string) => void;
+}
+
+const attemptKey = (task: string, number: Int): string => `${task}#${String(number)}`;
+
+/**
+ * A part as its owner keeps it: the machines, the slices, and who runs what. It lives from the moment the
+ * replica shows this node as the owner until it shows another.
+ */
+export class Part {
+  readonly machines = new Map<string, Machine>();
+  readonly slices = new Map<string, Slice>();
+  /** The design's idle list: empty machines, the one appended last at the end. */
+  private idle: Machine[] = [];
+  private counter = 0;
+  private placing = false;
+  private recording = false;
+  private readonly givingUp = new Map<string, { amounts: Amounts; version: Int }>();
+  /** What each team lacks of its limit here, for the siblings. */
+  wants = new Map<string, Amounts>();
+
+  constructor(
+    readonly name: string,
+    readonly token: number,
+    private readonly context: PartContext,
+    private readonly signal: AbortSignal,
+    before: { machines: [string, MachineRecord][]; slices: [string, SliceRecord, Int][] },
+  ) {
+    const now = context.clock.now();
+    for (const [id, record] of before.machines) {
+      const machine = newMachine(id, record, now);
+      machine.recorded = true;
+      machine.suspect = true;
+      machine.type = context.typeOf(record.type);
+      // The owner before may have answered reports for as long as it could believe in its ownership.
+      machine.answeredAt = now + context.proofMs;
+      this.machines.set(id, machine);
+    }
+    for (const [key, record, version] of before.slices) {
+      this.slices.set(key, new Slice(key, record, version, true));
+    }
+  }
+
+  get active(): boolean {
+    return !this.signal.aborted;
+  }
+
+  // --- what the replica shows ---
+
+  onSlice(key: string, record: SliceRecord | null, version: Int): void {
+    const slice = this.slices.get(key);
+    if (!record) {
+      if (slice) this.dropSlice(slice);
+      return;
+    }
+    if (slice) {
+      if (version > slice.version) slice.version = version;
+      return;
+    }
+    // New since the takeover: no owner before can have launched any of it.
+    this.slices.set(key, new Slice(key, record, version, false));
+    this.schedulePlacing();
+  }
+
+  /** The job was withdrawn, or the slice finished: whatever still runs of it is stopped. */
+  private dropSlice(slice: Slice): void {
+    this.slices.delete(slice.key);
+    slice.withdrawn = true;
+    slice.waiting.length = 0;
+    slice.pausing.length = 0;
+    slice.held.clear();
+    for (const machine of this.machines.values()) {
+      let commanded = false;
+      for (const attempt of [...machine.attempts.values()]) {
+        if (attempt.slice !== slice) continue;
+        attempt.halting = true;
+        if (attempt.phase === 'new') machine.attempts.delete(attempt.key);
+        else commanded = true;
+      }
+      if (commanded) this.command(machine);
+    }
+    this.schedulePlacing();
+  }
+
+  // --- reports ---
+
+  /** Takes a worker's report and gives the orders that answer it. */
+  onReport(report: Report): Order[] {
+    const now = this.context.clock.now();
+    let machine = this.machines.get(report.machine);
+    if (!machine) {
+      machine = newMachine(
+        report.machine,
+        { endpoint: report.endpoint, type: report.type, zone: report.zone, spot: report.spot },
+        now,
+      );
+      this.machines.set(machine.id, machine);
+      this.context.log.info(
+        { part: this.name, machine: machine.id, type: report.type, spot: report.spot },
+        'machine up',
+      );
+    }
+    // Answering renews the lease, so this is noted whatever the report says. Never lowered: the owner
+    // before may have answered later than this owner's first answer.
+    machine.answeredAt = Math.max(machine.answeredAt, now);
+    if (!this.apply(machine, report, true)) return [];
+    this.schedulePlacing();
+    return this.orders(machine, 'report');
+  }
+
+  /** False if the report is older than what is known. */
+  private apply(machine: Machine, report: Report, checkin: boolean): boolean {
+    const now = this.context.clock.now();
+    if (report.token > this.token) {
+      this.context.onOutdated(this.name);
+      return false;
+    }
+    if (report.session < machine.session) return false;
+    if (report.session === machine.session && report.seq <= machine.seq) return false;
+    if (report.session > machine.session) this.newSession(machine, report.session);
+    machine.seq = report.seq;
+    machine.heardAt = now;
+    machine.endpoint = report.endpoint;
+    machine.spot = report.spot;
+    machine.typeName = report.type;
+    machine.type ??= this.context.typeOf(report.type);
+    if (report.noticeS !== null && !machine.noticed) {
+      machine.noticed = true;
+      machine.draining = true;
+      this.context.log.info({ machine: machine.id, noticeS: report.noticeS }, 'machine will be taken');
+    }
+    if (report.token === this.token && !machine.fenced) {
+      machine.fenced = true;
+      machine.suspect = false;
+      this.context.log.debug({ part: this.name, machine: machine.id }, 'machine fenced');
+    }
+    const listed = new Set<string>();
+    for (const reported of report.tasks) {
+      const key = attemptKey(reported.task, reported.attempt);
+      listed.add(key);
+      const attempt =
+        machine.attempts.get(key) ??
+        this.adopt(machine, key, reported.task, reported.attempt, reported.state, reported.reason);
+      if (!attempt) continue;
+      attempt.phase = 'seen';
+      attempt.state = reported.state;
+      if (reported.reason !== null) this.end(machine, attempt, reported.reason);
+    }
+    for (const attempt of [...machine.attempts.values()]) {
+      if (listed.has(attempt.key)) continue;
+      if (attempt.phase === 'seen') this.lose(machine, attempt);
+      // The answer that held the launch was dropped: reports go one at a time, so this one was sent after.
+      // A direct command's answer proves nothing of the kind, as it can cross the report's answer.
+      else if (attempt.phase === 'sent' && checkin) {
+        if (attempt.halting) machine.attempts.delete(attempt.key);
+        else attempt.phase = 'new';
+      }
+    }
+    for (const key of [...machine.ended.keys()]) if (checkin && !listed.has(key)) machine.ended.delete(key);
+    machine.load = booked(machine, (attempt) => attempt.phase === 'seen');
+    machine.drift = booked(machine, (attempt) => attempt.phase !== 'seen');
+    this.noteIdle(machine, now);
+    if (!machine.suspect) this.releaseHeld();
+    return true;
+  }
+
+  /** The design's event: an empty machine's report appends it to the idle list. */
+  private noteIdle(machine: Machine, now: number): void {
+    const listed = this.idle.indexOf(machine);
+    if (machine.attempts.size > 0) {
+      machine.emptySince = Infinity;
+      if (listed >= 0) this.idle.splice(listed, 1);
+      return;
+    }
+    if (machine.emptySince === Infinity) machine.emptySince = now;
+    if (listed < 0) this.idle.push(machine);
+  }
+
+  private newSession(machine: Machine, session: Int): void {
+    if (machine.session !== 0 && machine.attempts.size > 0) {
+      this.context.log.info(
+        { machine: machine.id, tasks: machine.attempts.size },
+        'machine lost its session',
+      );
+    }
+    for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
+    machine.ended.clear();
+    machine.unforgettable.clear();
+    machine.session = session;
+    machine.seq = 0;
+  }
+
+  /** The attempt is certainly gone from its machine without a result. */
+  private lose(machine: Machine, attempt: Attempt): void {
+    machine.attempts.delete(attempt.key);
+    attempt.slice?.unplace(attempt.position, attempt.key, null);
+    this.schedulePlacing();
+  }
+
+  /** A reported attempt that this owner did not start, or gave up: left by an owner before, or late. */
+  private adopt(
+    machine: Machine,
+    key: string,
+    task: string,
+    number: Int,
+    state: Attempt['state'],
+    reason: EndReason | null,
+  ): Attempt | null {
+    if (machine.ended.has(key)) return null;
+    const found = this.find(task);
+    const slice = found?.slice ?? null;
+    const position = found?.position ?? 0;
+    const free = slice !== null && !slice.placed.has(position) && !slice.settled.has(position);
+    if (reason !== null) {
+      // Its result counts wherever it was reached.
+      if (slice && reason === 'done') this.settle(slice, position);
+      machine.ended.set(key, { task, number, reason, slice: reason === 'done' ? slice : null, position });
+      return null;
+    }
+    const attempt: Attempt = {
+      key,
+      task,
+      number,
+      slice: free ? slice : null,
+      position,
+      phase: 'seen',
+      state,
+      halting: !free,
+      startedAt: this.context.clock.now(),
+    };
+    if (free) slice.place(position, key);
+    machine.attempts.set(key, attempt);
+    return attempt;
+  }
+
+  private find(task: string): { slice: Slice; position: number } | null {
+    const parsed = parseTaskName(task);
+    if (!parsed) return null;
+    for (const slice of this.slices.values()) {
+      if (slice.spec.id !== parsed.job || !slice.has(parsed.index)) continue;
+      const position = slice.position(parsed.index);
+      // Settled may mean moved to another slice of this same part.
+      if (position !== null) return { slice, position };
+    }
+    return null;
+  }
+
+  private end(machine: Machine, attempt: Attempt, reason: EndReason): void {
+    const { slice, position, key } = attempt;
+    const now = this.context.clock.now();
+    machine.attempts.delete(key);
+    machine.ended.set(key, {
+      task: attempt.task,
+      number: attempt.number,
+      reason,
+      slice: reason === 'done' ? slice : null,
+      position,
+    });
+    if (!slice || slice.withdrawn) return;
+    if (reason === 'done') {
+      machine.faults = 0;
+      machine.faultJobs.clear();
+      slice.failures = 0;
+      this.settle(slice, position);
+      return;
+    }
+    if (reason === 'stopped') return slice.unplace(position, key, null);
+    slice.failures++;
+    const pause = Math.min(TASK_RETRY_MS * 2 ** Math.min(slice.failures, 10), TASK_RETRY_MAX_MS);
+    slice.unplace(position, key, now + pause);
+    if (reason === 'error') this.fault(machine, slice.spec.id, now);
+    this.context.log.info({ machine: machine.id, task: attempt.task, reason }, 'task failed');
+  }
+
+  /** A sick machine fails everything: it must not swallow the waiting tasks one by one. */
+  private fault(machine: Machine, job: string, now: number): void {
+    machine.faults++;
+    machine.faultJobs.add(job);
+    machine.pausedUntil = now + FAULT_PAUSE_MS * 2 ** Math.min(machine.faults - 1, 5);
+    // One job that fails everywhere must not take the machines down with it.
+    if (machine.faults >= FAULTS_TO_DRAIN && machine.faultJobs.size >= 2 && !machine.draining) {
+      machine.draining = true;
+      this.context.log.info(
+        { machine: machine.id, faults: machine.faults },
+        'machine drained: tasks of several jobs fail on it',
+      );
+    }
+  }
+
+  private settle(slice: Slice, position: number): void {
+    if (slice.spec.kind === 'service') return; // a replica that exits is replaced
+    slice.settle(position);
+    if (slice.settled.full) slice.recordAt = 0;
+    this.record();
+  }
+
+  /** Once no suspect machine is left, what is still unaccounted for runs nowhere. */
+  private releaseHeld(): void {
+    for (const machine of this.machines.values()) if (machine.suspect) return;
+    for (const slice of this.slices.values()) {
+      if (slice.held.size === 0) continue;
+      slice.release();
+      this.schedulePlacing();
+    }
+  }
+
+  // --- orders ---
+
+  /** Orders for the machine by the way they will travel; launches are noted as sent that way. */
+  private orders(machine: Machine, way: 'report' | 'direct'): Order[] {
+    const orders: Order[] = [];
+    const launching = machine.fenced && machine.recorded && this.context.mayAct();
+    for (const attempt of machine.attempts.values()) {
+      if (attempt.halting) {
+        orders.push({ op: 'halt', task: attempt.task, attempt: attempt.number, graceS: 0 });
+      } else if (launching && typeof attempt.number === 'number') {
+        if (attempt.phase === 'new' || (attempt.phase === 'direct' && way === 'report')) {
+          orders.push({ op: 'launch', task: attempt.task, attempt: attempt.number });
+        }
+        if (attempt.phase === 'new') {
+          attempt.phase = way === 'direct' ? 'direct' : 'sent';
+          if (way === 'direct') machine.unforgettable.add(attempt.key);
+        }
+      }
+    }
+    if (way === 'direct') return orders;
+    for (const [key, ended] of machine.ended) {
+      if (machine.unforgettable.has(key)) continue;
+      const { slice, position } = ended;
+      if (slice && !slice.withdrawn && !slice.recorded.has(position)) continue;
+      orders.push({ op: 'forget', task: ended.task, attempt: ended.number });
+    }
+    return orders;
+  }
+
+  /** Sends what is due straight to the machine, one call at a time. */
+  private command(machine: Machine): void {
+    if (machine.commanding || !this.active) return;
+    void this.commandNow(machine);
+  }
+
+  private async commandNow(machine: Machine): Promise<void> {
+    if (!machine.fenced || machine.returning || !this.context.mayAct()) return;
+    const orders = this.orders(machine, 'direct');
+    if (orders.length === 0) return;
+    machine.commanding = true;
+    const launched = orders.flatMap((o) => (o.op === 'launch' ? [attemptKey(o.task, o.attempt)] : []));
+    const heard = await this.send(machine, orders);
+    machine.commanding = false;
+    if (heard !== 'executed' && heard !== 'rejected') return; // the launches may still arrive
+    for (const key of launched) {
+      machine.unforgettable.delete(key);
+      const attempt = machine.attempts.get(key);
+      // The answer's report showed what was executed; what it does not show was not, and cannot be later.
+      if (attempt?.phase === 'direct') attempt.phase = 'new';
+    }
+    if ([...machine.attempts.values()].some((a) => a.phase === 'new')) this.command(machine);
+  }
+
+  /** `rejected` proves that nothing was executed; `unknown` proves nothing. */
+  private async send(machine: Machine, orders: Order[]): Promise<'executed' | 'rejected' | 'unknown'> {
+    const body = stringifyJson(encodeCommands(this.token, machine.session, orders));
+    try {
+      const answer = await this.context.http({
+        address: machine.endpoint,
+        method: 'POST',
+        path: workerPaths.commands,
+        body,
+        deadlineMs: COMMAND_DEADLINE_MS,
+        signal: this.signal,
+      });
+      if (answer.status !== 200 && answer.status !== 409) return 'unknown';
+      const report = decodeReport(parseJson(answer.text));
+      if (!report || report.machine !== machine.id || this.machines.get(machine.id) !== machine)
+        return 'unknown';
+      if (this.active) {
+        this.apply(machine, report, false);
+        this.schedulePlacing();
+      }
+      return answer.status === 200 ? 'executed' : 'rejected';
+    } catch (error) {
+      if (!(error instanceof NoAnswer) && !(error instanceof SyntaxError)) throw error;
+      return 'unknown';
+    }
+  }
+
+  // --- placing ---
+
+  /** Placing is done once for all that happens together. */
+  schedulePlacing(): void {
+    if (this.placing || !this.active) return;
+    this.placing = true;
+    setImmediate(() => {
+      this.placing = false;
+      if (this.active) this.place();
+    });
+  }
+
+  /** Machines that may take tasks now. */
+  private open(now: number): Machine[] {
+    const silent = this.context.settings.reportMs * SILENT_REPORTS;
+    return [...this.machines.values()].filter(
+      (m) =>
+        m.recorded &&
+        m.fenced &&
+        !m.draining &&
+        !m.returning &&
+        m.pausedUntil <= now &&
+        now - m.heardAt < silent,
+    );
+  }
+
+  /** Slices with waiting tasks, in the order in which they are served. */
+  private queue(): Slice[] {
+    const rank = (slice: Slice): number =>
+      slice.spec.priority * 2 + (this.context.withinGuarantee(slice.spec.id) ? 0 : 1);
+    return [...this.slices.values()]
+      .filter((slice) => slice.waiting.length > 0)
+      .map((slice) => ({ slice, rank: rank(slice) }))
+      .sort((a, b) => a.rank - b.rank || a.slice.at - b.slice.at)
+      .map((entry) => entry.slice);
+  }
+
+  place(): void {
+    this.wants.clear();
+    if (!this.context.mayAct()) return;
+    const now = this.context.clock.now();
+    const open = this.open(now);
+    const usable = new Set(open);
+    const used = new Map<string, Amounts>();
+    const touched = new Set<Machine>();
+    for (const slice of this.queue()) {
+      const { spec } = slice;
+      while (slice.waiting.length > 0) {
+        if (!this.withinLimit(slice, used)) break;
+        const idle = this.idle.filter((m) => usable.has(m));
+        const machine = pick(spec, { open, idle }, this.context.random);
+        const position = machine ? slice.waiting.pop() : undefined;
+        if (!machine || position === undefined) break;
+        this.start(machine, slice, position, now);
+        touched.add(machine);
+        const sum = used.get(spec.team);
+        if (sum) {
+          sum.cores += spec.cores;
+          sum.accelerators += spec.accelerators;
+        }
+      }
+    }
+    for (const machine of touched) this.command(machine);
+  }
+
+  private start(machine: Machine, slice: Slice, position: number, now: number): void {
+    if (this.counter >= ATTEMPTS_PER_TOKEN - 1) return this.context.onOutdated(this.name);
+    const number = this.token * ATTEMPTS_PER_TOKEN + ++this.counter;
+    const task = taskName(slice.spec.id, slice.index(position));
+    const key = attemptKey(task, number);
+    machine.attempts.set(key, {
+      key,
+      task,
+      number,
+      slice,
+      position,
+      phase: 'new',
+      state: 'fetching',
+      halting: false,
+      startedAt: now,
+    });
+    slice.place(position, key);
+    machine.drift = booked(machine, (attempt) => attempt.phase !== 'seen');
+    machine.emptySince = Infinity;
+    const at = this.idle.indexOf(machine);
+    if (at >= 0) this.idle.splice(at, 1);
+  }
+
+  // --- limits ---
+
+  /** What the team's tasks may use here at most: all that could be on a machine counts. */
+  usage(team: string): Amounts {
+    const sum = { cores: 0, accelerators: 0 };
+    for (const machine of this.machines.values()) {
+      let unknown = machine.suspect;
+      for (const attempt of machine.attempts.values()) {
+        if (!attempt.slice) unknown = true;
+        else if (attempt.slice.spec.team === team) {
+          sum.cores += attempt.slice.spec.cores;
+          sum.accelerators += attempt.slice.spec.accelerators;
+        }
+      }
+      if (!unknown) continue;
+      // A machine not fenced since the takeover, or one with a task of a job that is over, may be full of this team's tasks.
+      const left = room(machine) ?? machine.type;
+      sum.cores += Math.max(0, left?.cores ?? Infinity);
+      sum.accelerators += Math.max(0, left?.accelerators ?? Infinity);
+    }
+    return sum;
+  }
+
+  /** Share being given up, until the state service has decided: until then it belongs to nobody. */
+  holdBack(team: string, amounts: Amounts | null): void {
+    if (amounts) this.givingUp.set(team, { amounts, version: this.context.replica.version(quotaKey(team)) });
+    else this.givingUp.delete(team);
+    if (!amounts) this.schedulePlacing();
+  }
+
+  holdsBack(team: string): boolean {
+    const giving = this.givingUp.get(team);
+    // The version it was conditioned on has passed: carried out and in the share now, or never to be.
+    if (giving && giving.version !== this.context.replica.version(quotaKey(team))) this.givingUp.delete(team);
+    return this.givingUp.has(team);
+  }
+
+  private shareOf(team: string): Amounts {
+    const share = this.context.limits.share(team, this.name);
+    const giving = this.holdsBack(team) ? this.givingUp.get(team)?.amounts : undefined;
+    if (!giving) return share;
+    return { cores: share.cores - giving.cores, accelerators: share.accelerators - giving.accelerators };
+  }
+
+  private withinLimit(slice: Slice, used: Map<string, Amounts>): boolean {
+    const { team, cores, accelerators } = slice.spec;
+    if (!this.context.limits.limited(team)) return true;
+    let sum = used.get(team);
+    if (!sum) used.set(team, (sum = this.usage(team)));
+    const share = this.shareOf(team);
+    if (
+      sum.cores + cores <= share.cores + 1e-6 &&
+      sum.accelerators + accelerators <= share.accelerators + 1e-6
+    ) {
+      return true;
+    }
+    const want = this.wants.get(team) ?? { cores: 0, accelerators: 0 };
+    want.cores += cores * slice.waiting.length;
+    want.accelerators += accelerators * slice.waiting.length;
+    this.wants.set(team, want);
+    return false;
+  }
+
+  // --- duties ---
+
+  /** Fences, finds the end of leases, wakes pausing tasks, records machines and progress. */
+  tick(): void {
+    const now = this.context.clock.now();
+    for (const machine of this.machines.values()) {
+      machine.type ??= this.context.typeOf(machine.typeName);
+      if (this.leaseOver(machine, now)) this.expire(machine);
+      if (!machine.fenced && machine.recorded && now >= machine.nextFenceAt && this.context.mayAct()) {
+        machine.nextFenceAt = now + FENCE_RETRY_MS + COMMAND_DEADLINE_MS;
+        void this.fence(machine);
+      }
+      if (machine.pausedUntil > 0 && machine.pausedUntil <= now) this.schedulePlacing();
+    }
+    for (const slice of this.slices.values()) {
+      if (slice.pausing.length === 0) continue;
+      slice.wake(now);
+      this.schedulePlacing();
+    }
+    this.record();
+    if ([...this.slices.values()].some((slice) => slice.waiting.length > 0)) this.schedulePlacing();
+  }
+
+  /** Whether every lease the machine could hold is certainly over. */
+  private leaseOver(machine: Machine, now: number): boolean {
+    const lease = this.context.settings.leaseMs * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
+    return now - Math.max(machine.answeredAt, machine.heardAt) > lease;
+  }
+
+  private expire(machine: Machine): void {
+    if (machine.attempts.size > 0) {
+      this.context.log.info(
+        { machine: machine.id, tasks: machine.attempts.size },
+        'lease over: tasks are free',
+      );
+    }
+    // The worker has killed its tasks and gone to its next session, in which no earlier command counts.
+    for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
+    machine.ended.clear();
+    machine.unforgettable.clear();
+    machine.suspect = false;
+    this.releaseHeld();
+  }
+
+  private async fence(machine: Machine): Promise<void> {
+    // The session is unknown at first: the refusal's report tells it, and the next try is executed.
+    const first = await this.send(machine, []);
+    if (first === 'rejected' && !machine.fenced && this.active) await this.send(machine, []);
+  }
+
+  /** Asks a silent machine directly; true if it answered. */
+  async probe(machine: Machine): Promise<boolean> {
+    machine.probing = true;
+    const answer = await this.send(machine, []);
+    machine.probing = false;
+    return answer !== 'unknown';
+  }
+
+  /** The cloud confirmed that the machine and all on it are gone. */
+  removed(machine: Machine): void {
+    this.machines.delete(machine.id);
+    const at = this.idle.indexOf(machine);
+    if (at >= 0) this.idle.splice(at, 1);
+    for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
+    this.releaseHeld();
+    this.schedulePlacing();
+    if (machine.recorded) void this.unrecord(machine);
+  }
+
+  private async unrecord(machine: Machine): Promise<void> {
+    const key = machineKey(this.name, machine.id);
+    while (this.active && this.context.replica.version(key) !== 0) {
+      try {
+        const result = await this.context.store.txn([this.ownership()], [{ op: 'delete', key }], 'work');
+        if (result.kind === 'committed') return;
+      } catch (error) {
+        this.context.log.debug({ err: String(error), machine: machine.id }, 'machine record not removed yet');
+      }
+      await this.context.clock.sleep(RETRY_MS * 4, this.signal);
+    }
+  }
+
+  /** The condition that makes a stale owner's transaction, or a late one, fail. */
+  ownership(): Condition {
+    const key = partKey(this.name);
+    return { key, version: this.context.replica.version(key) };
+  }
+
+  /** One recorder at a time; it goes on until nothing is due. */
+  private record(): void {
+    if (this.recording || !this.active) return;
+    this.recording = true;
+    void (async () => {
+      try {
+        while (this.active && (await this.recordOnce()));
+      } catch (error) {
+        this.context.log.debug({ part: this.name, err: String(error) }, 'not recorded yet');
+      }
+      this.recording = false;
+    })();
+  }
+
+  /** Writes the most urgent that is due; false when nothing is. */
+  private async recordOnce(): Promise<boolean> {
+    const now = this.context.clock.now();
+    for (const slice of this.slices.values()) {
+      if (!slice.settled.full || slice.recordAt > now) continue;
+      await this.finish(slice);
+      return true;
+    }
+    const machines = [...this.machines.values()]
+      .filter((m) => !m.recorded && !m.returning)
+      .slice(0, this.context.settings.txnOps);
+    if (machines.length > 0) {
+      const writes = machines.map((m): Write => {
+        const value: MachineRecord = { endpoint: m.endpoint, type: m.typeName, zone: m.zone, spot: m.spot };
+        return { op: 'put', key: machineKey(this.name, m.id), value };
+      });
+      const result = await this.context.store.txn([this.ownership()], writes, 'ownership');
+      if (result.kind !== 'committed') return false;
+      for (const machine of machines) machine.recorded = true;
+      this.schedulePlacing();
+      return true;
+    }
+    for (const slice of this.slices.values()) {
+      if (slice.settled.size === slice.recorded.size || slice.settled.full || slice.recordAt > now) continue;
+      slice.recordAt = now + PROGRESS_MS;
+      await this.recordProgress(slice);
+      return true;
+    }
+    return false;
+  }
+
+  private async recordProgress(slice: Slice): Promise<void> {
+    const value = slice.record();
+    const key = sliceKey(slice.key);
+    const result = await this.context.store.txn(
+      [this.ownership(), { key, version: slice.version }],
+      [{ op: 'put', key, value }],
+      'work',
+    );
+    if (result.kind !== 'committed') return; // the replica will tell why
+    slice.version = result.revision;
+    slice.recorded = new Slice(slice.key, value, result.revision, true).settled;
+  }
+
+  /** All of the slice's tasks are settled: it leaves its job, and the last slice finishes the job. */
+  private async finish(slice: Slice): Promise<void> {
+    const key = sliceKey(slice.key);
+    slice.recordAt = this.context.clock.now() + RETRY_MS;
+    const entry = await this.context.store.get(jobKey(slice.spec.id), 'user');
+    const job = entry && readJob(entry.value);
+    // Over, or finished by a transaction whose answer was lost: the replica takes the slice away.
+    if (!entry || !job || job.status !== 'open' || !job.open.includes(slice.key)) return;
+    const open = job.open.filter((other) => other !== slice.key);
+    const result = await this.context.store.txn(
+      [this.ownership(), { key, version: slice.version }, { key: entry.key, version: entry.version }],
+      [
+        { op: 'delete', key },
+        { op: 'put', key: entry.key, value: { ...job, open, status: open.length === 0 ? 'done' : 'open' } },
+      ],
+      'user',
+    );
+    if (result.kind !== 'committed') {
+      // Another slice of the job finished meanwhile: at once again. Else the replica will tell why.
+      if (result.kind === 'conflict' && result.failed.every((failed) => failed === entry.key))
+        slice.recordAt = 0;
+      return;
+    }
+    if (open.length === 0) this.context.log.debug({ job: slice.spec.id }, 'job done');
+    this.dropSlice(slice);
+  }
+
+  // --- what others are told ---
+
+  get idleCount(): number {
+    const usable = new Set(this.open(this.context.clock.now()));
+    return this.idle.filter((m) => usable.has(m)).length;
+  }
+
+  summary(): {
+    average: number;
+    machines: number;
+    running: Record<string, number>;
+    freeCores: number;
+    freeSpotCores: number;
+    waitingCores: number;
+  } {
+    const running: Record<string, number> = {};
+    const open = this.open(this.context.clock.now());
+    const result = { freeCores: 0, freeSpotCores: 0, waitingCores: 0 };
+    let cores = 0;
+    let load = 0;
+    for (const machine of this.machines.values()) {
+      for (const attempt of machine.attempts.values()) {
+        const job = attempt.slice?.spec.id;
+        if (job !== undefined && attempt.phase === 'seen') running[job] = (running[job] ?? 0) + 1;
+      }
+    }
+    for (const machine of open) {
+      load += machine.load + machine.drift;
+      cores += machine.type?.cores ?? 0;
+      const left = Math.max(0, room(machine)?.cores ?? 0);
+      if (machine.spot) result.freeSpotCores += left;
+      else result.freeCores += left;
+    }
+    for (const slice of this.slices.values()) {
+      result.waitingCores += (slice.waiting.length + slice.held.size) * slice.spec.cores;
+    }
+    // A part without machines is the last to be given anything.
+    const perMachine = open.length > 0 ? cores / open.length : 0;
+    const waiting = perMachine > 0 ? result.waitingCores / perMachine : 0;
+    const average = open.length > 0 ? (load + waiting) / open.length : 1e6;
+    return { average, machines: open.length, running, ...result };
+  }
+}
--- /dev/null
+++ b/src/coordination/renting.ts
@@ -0,0 +1,260 @@
+import {
+  BOOT_LATE,
+  BOOT_LOST,
+  IDLE_RETURN_MS,
+  LOST_REPORTS,
+  MUTE_MS,
+  NEED_HEADROOM,
+  NEED_WINDOW_MS,
+  NO_CAPACITY_MS,
+  RENT_BATCH,
+  RETURN_BATCH,
+  SILENT_FEW,
+  SILENT_REPORTS,
+  SILENT_SHARE,
+  UNLISTED_MS,
+} from '../constants.ts';
+import { fits, type Machine } from '../bookkeeping/machines.ts';
+import type { ListedMachine, MachineType } from '../protocol/cloud.ts';
+import type { Settings } from '../settings.ts';
+import type { Clock } from '../transport/clock.ts';
+import type { Log } from '../transport/routine.ts';
+import type { CloudCalls } from './cloud-calls.ts';
+import type { Part } from './part.ts';
+
+interface Booting {
+  type: MachineType;
+  spot: boolean;
+  since: number;
+  seenAt: number;
+}
+
+interface Need {
+  at: number;
+  ordinary: number;
+  all: number;
+}
+
+/** Keeps one part supplied with machines: rents ahead of need, replaces lost ones, returns unneeded ones. */
+export class Renting {
+  private readonly booting = new Map<string, Booting>();
+  private readonly runningSince = new Map<string, number>();
+  private readonly noneUntil = new Map<string, number>();
+  private needs: Need[] = [];
+  private renting = false;
+  private returning = new Set<string>();
+
+  constructor(
+    private readonly part: Part,
+    private readonly zone: string,
+    private readonly deps: {
+      settings: Settings;
+      clock: Clock;
+      log: Log;
+      cloud: CloudCalls;
+      catalog: () => MachineType[] | null;
+    },
+  ) {}
+
+  tick(): void {
+    const now = this.deps.clock.now();
+    this.watchSilent(now);
+    for (const id of this.booting.keys()) if (this.part.machines.has(id)) this.booting.delete(id);
+    const drained = [...this.part.machines.values()].filter(
+      (m) => m.draining && !m.noticed && m.attempts.size === 0 && m.ended.size === 0,
+    );
+    for (const machine of drained) this.giveBack(machine, 'drained');
+    const catalog = this.deps.catalog();
+    if (!catalog) return;
+    const want = this.want(now);
+    this.returnIdle(now, want);
+    if (!this.renting) void this.rent(now, catalog, want);
+  }
+
+  /** What a read of the machine list shows of this part's machines. */
+  onList(listed: ListedMachine[], readAt: number): void {
+    const now = this.deps.clock.now();
+    const catalog = this.deps.catalog() ?? [];
+    const present = new Set<string>();
+    for (const m of listed) {
+      present.add(m.id);
+      const known = this.part.machines.get(m.id);
+      if (m.state === 'failed') {
+        if (known) this.giveBack(known, 'failed');
+        else this.giveBackName(m.id, 'failed');
+        continue;
+      }
+      if (known) {
+        this.runningSince.delete(m.id);
+        continue;
+      }
+      const type = catalog.find((t) => t.name === m.type);
+      if (!type) continue;
+      const booting = this.booting.get(m.id);
+      if (booting) booting.seenAt = now;
+      else this.booting.set(m.id, { type, spot: m.spot, since: readAt - m.ageS * 1000, seenAt: now });
+      if (m.state === 'running') {
+        const since = this.runningSince.get(m.id) ?? now;
+        this.runningSince.set(m.id, since);
+        if (now - since > MUTE_MS) this.giveBackName(m.id, 'never reported');
+      } else if (m.ageS > type.bootS * BOOT_LOST) this.giveBackName(m.id, 'never came up');
+    }
+    const lag = this.deps.settings.listLagMs * 2 + UNLISTED_MS;
+    for (const [id, b] of this.booting) {
+      if (!present.has(id) && now - Math.max(b.seenAt, b.since) > lag) this.booting.delete(id);
+    }
+    for (const id of this.runningSince.keys()) if (!present.has(id)) this.runningSince.delete(id);
+  }
+
+  // --- need ---
+
+  private want(now: number): Need {
+    const need: Need = { at: now, ordinary: 0, all: 0 };
+    for (const slice of this.part.slices.values()) {
+      const tasks = slice.count - slice.settled.size;
+      need.all += tasks * slice.spec.cores;
+      if (!slice.spec.spot) need.ordinary += tasks * slice.spec.cores;
+    }
+    // One entry a highest value: an entry that a later and higher one covers says nothing more.
+    this.needs = this.needs.filter(
+      (n) => now - n.at < NEED_WINDOW_MS && (n.ordinary > need.ordinary || n.all > need.all),
+    );
+    this.needs.push(need);
+    return {
+      at: now,
+      ordinary: NEED_HEADROOM * Math.max(...this.needs.map((n) => n.ordinary)),
+      all: NEED_HEADROOM * Math.max(...this.needs.map((n) => n.all)),
+    };
+  }
+
+  private supply(now: number): Need {
+    const supply: Need = { at: now, ordinary: 0, all: 0 };
+    const add = (cores: number, spot: boolean): void => {
+      supply.all += cores;
+      if (!spot) supply.ordinary += cores;
+    };
+    for (const m of this.part.machines.values())
+      if (!m.draining && !m.returning) add(m.type?.cores ?? 0, m.spot);
+    for (const b of this.booting.values()) {
+      if (now - b.since < b.type.bootS * 1000 * BOOT_LATE) add(b.type.cores, b.spot);
+    }
+    return supply;
+  }
+
+  private async rent(now: number, catalog: MachineType[], want: Need): Promise<void> {
+    const supply = this.supply(now);
+    const choice = this.choose(now, catalog, want, supply);
+    if (!choice) return;
+    this.renting = true;
+    const { type, spot, cores } = choice;
+    const count = Math.min(RENT_BATCH, Math.max(1, Math.ceil(cores / type.cores)));
+    try {
+      const result = await this.deps.cloud.rent({ type: type.name, zone: this.zone, spot, count });
+      const at = this.deps.clock.now();
+      const got = result.kind === 'rented' ? result.machines : [];
+      for (const id of got)
+        if (!this.booting.has(id)) this.booting.set(id, { type, spot, since: at, seenAt: at });
+      if (got.length < count) this.noneUntil.set(`${type.name}/${String(spot)}`, at + NO_CAPACITY_MS);
+      if (got.length > 0) {
+        this.deps.log.info(
+          { part: this.part.name, type: type.name, spot, machines: got.length },
+          'machines rented',
+        );
+      }
+    } catch (error) {
+      this.deps.log.debug({ err: String(error) }, 'renting failed');
+    }
+    this.renting = false;
+  }
+
+  private choose(
+    now: number,
+    catalog: MachineType[],
+    want: Need,
+    supply: Need,
+  ): { type: MachineType; spot: boolean; cores: number } | null {
+    const specs = [...this.part.slices.values()].map((slice) => slice.spec);
+    const find = (spot: boolean): MachineType | null =>
+      catalog
+        .filter(
+          (t) => t.zones.includes(this.zone) && (this.noneUntil.get(`${t.name}/${String(spot)}`) ?? 0) <= now,
+        )
+        .filter((t) =>
+          specs.some(
+            (s) => (s.spot || !spot) && (s.types === null || s.types.includes(t.name)) && fits(s, t),
+          ),
+        )
+        .sort((a, b) => (spot ? a.spotPrice - b.spotPrice : a.price - b.price) / 1 || b.cores - a.cores)
+        .sort((a, b) =>
+          spot ? a.spotPrice / a.cores - b.spotPrice / b.cores : a.price / a.cores - b.price / b.cores,
+        )
+        .at(0) ?? null;
+    if (supply.ordinary < want.ordinary) {
+      const type = find(false);
+      if (type) return { type, spot: false, cores: want.ordinary - supply.ordinary };
+    }
+    if (supply.all < want.all) {
+      const spot = find(true);
+      if (spot) return { type: spot, spot: true, cores: want.all - supply.all };
+      const type = find(false);
+      if (type) return { type, spot: false, cores: want.all - supply.all };
+    }
+    return null;
+  }
+
+  // --- returning ---
+
+  private returnIdle(now: number, want: Need): void {
+    const supply = this.supply(now);
+    for (const m of this.part.machines.values()) {
+      const cores = m.type?.cores ?? 0;
+      if (m.draining || m.returning || !m.fenced || now - m.emptySince < IDLE_RETURN_MS) continue;
+      if (supply.all - cores < want.all || (!m.spot && supply.ordinary - cores < want.ordinary)) continue;
+      m.draining = true;
+      supply.all -= cores;
+      if (!m.spot) supply.ordinary -= cores;
+    }
+  }
+
+  /**
+   * A machine silent for a few reports that does not answer either is returned: that frees its tasks at
+   * once. Where many are silent together the fault is likelier here, and returning them would throw the
+   * part away.
+   */
+  private watchSilent(now: number): void {
+    const { reportMs } = this.deps.settings;
+    const silent = [...this.part.machines.values()].filter(
+      (m) => now - m.heardAt > reportMs * SILENT_REPORTS,
+    );
+    const most = Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
+    for (const m of silent) {
+      const lost = now - m.heardAt > reportMs * LOST_REPORTS && now - m.deafSince >= 0;
+      if (lost && silent.length <= most) this.giveBack(m, m.noticed ? 'taken' : 'silent');
+      if (!m.probing && !m.returning) void this.probe(m);
+    }
+  }
+
+  private async probe(machine: Machine): Promise<void> {
+    const answered = await this.part.probe(machine);
+    machine.deafSince = answered ? Infinity : Math.min(machine.deafSince, this.deps.clock.now());
+  }
+
+  private giveBack(machine: Machine, why: string): void {
+    machine.draining = true;
+    machine.returning = true;
+    this.giveBackName(machine.id, why);
+  }
+
+  private giveBackName(id: string, why: string): void {
+    if (this.returning.has(id) || this.returning.size >= RETURN_BATCH) return;
+    this.returning.add(id);
+    this.deps.log.info({ part: this.part.name, machine: id, why }, 'returning machine');
+    void this.deps.cloud.giveBack(id).then((gone) => {
+      this.returning.delete(id);
+      this.booting.delete(id);
+      if (!gone || !this.part.active) return;
+      const machine = this.part.machines.get(id);
+      if (machine) this.part.removed(machine);
+    });
+  }
+}
--- /dev/null
+++ b/src/protocol/mesh.ts
@@ -0,0 +1,39 @@
+import * as z from 'zod/mini';
+
+/** What siblings say to one another. Every message is advice or a passed-on request; none carries a right. */
+const message = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('part'),
+    part: z.string(),
+    token: z.number(),
+    /** How many idle machines the part has; above 0 is the idle flag. */
+    idle: z.number(),
+    /** Booked and waiting share over the part's machines. */
+    average: z.number(),
+    machines: z.number(),
+    /** Tasks on machines, by job, for display. */
+    running: z.record(z.string(), z.number()),
+    /** What the part lacks of each team's limit, in CPUs and accelerators. */
+    wants: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
+    /** Cores free on machines up, by whether the machine is a spot machine, and cores waited for. */
+    freeCores: z.number(),
+    freeSpotCores: z.number(),
+    waitingCores: z.number(),
+  }),
+  z.object({
+    kind: z.literal('ask'),
+    id: z.number(),
+    op: z.enum(['submit', 'status', 'withdraw']),
+    body: z.string(),
+  }),
+  z.object({ kind: z.literal('answer'), id: z.number(), status: z.number(), body: z.string() }),
+]);
+
+export type MeshMessage = z.infer<typeof message>;
+export type PartMessage = Extract<MeshMessage, { kind: 'part' }>;
+
+/** The message, or null for one this version does not know. */
+export function decodeMesh(value: unknown): MeshMessage | null {
+  const parsed = z.safeParse(message, value);
+  return parsed.success ? parsed.data : null;
+}
--- /dev/null
+++ b/src/protocol/workers.ts
@@ -0,0 +1,122 @@
+import * as z from 'zod/mini';
+import type { Int } from './json.ts';
+import { int } from './schema.ts';
+
+export type TaskState = 'fetching' | 'running' | 'saving' | 'ended';
+export type EndReason = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface ReportedTask {
+  task: string;
+  attempt: Int;
+  state: TaskState;
+  /** Set when ended. */
+  reason: EndReason | null;
+}
+
+export interface Report {
+  machine: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: Int;
+  seq: Int;
+  token: Int;
+  /** Seconds until the cloud takes the machine, or null. */
+  noticeS: number | null;
+  tasks: ReportedTask[];
+}
+
+export type Order =
+  | { op: 'launch'; task: string; attempt: number }
+  | { op: 'halt'; task: string; attempt: Int; graceS: number }
+  | { op: 'forget'; task: string; attempt: Int };
+
+const report = z.object({
+  banco: z.string(),
+  endpoint: z.string(),
+  modello: z.string(),
+  sede: z.string(),
+  prestiti: z.nullish(z.boolean()),
+  turno: int,
+  progressivo: int,
+  mandato: z.nullish(int),
+  preavviso_s: z.nullish(z.number()),
+  pratiche: z.nullish(
+    z.array(
+      z.object({ pratica: z.string(), tentativo: int, stato: z.string(), causale: z.nullish(z.string()) }),
+    ),
+  ),
+});
+
+const states: Record<string, TaskState> = {
+  fetching: 'fetching',
+  running: 'running',
+  gathering: 'running',
+  flushing: 'saving',
+  ended: 'ended',
+};
+const reasons: Record<string, EndReason> = {
+  done: 'done',
+  stopped: 'stopped',
+  error: 'error',
+  full: 'no_room',
+  busy: 'busy',
+  no_such: 'unknown',
+};
+
+/** The report, or null where the body is malformed. An unknown state counts as running: it holds its place. */
+export function decodeReport(body: unknown): Report | null {
+  const parsed = z.safeParse(report, body);
+  if (!parsed.success) return null;
+  const b = parsed.data;
+  return {
+    machine: b.banco,
+    endpoint: b.endpoint,
+    type: b.modello,
+    zone: b.sede,
+    spot: b.prestiti ?? false,
+    session: b.turno,
+    seq: b.progressivo,
+    token: b.mandato ?? 0,
+    noticeS: b.preavviso_s ?? null,
+    tasks: (b.pratiche ?? []).map((t) => {
+      const state = states[t.stato] ?? 'running';
+      return {
+        task: t.pratica,
+        attempt: t.tentativo,
+        state,
+        reason: state === 'ended' ? (reasons[t.causale ?? ''] ?? 'error') : null,
+      };
+    }),
+  };
+}
+
+function encodeOrder(order: Order): object {
+  const base = { ordine: order.op, pratica: order.task, tentativo: order.attempt };
+  return order.op === 'halt' ? { ...base, tolleranza_s: order.graceS } : base;
+}
+
+export function encodeReportAnswer(token: number, orders: Order[]): object {
+  return { mandato: token, ordini: orders.map(encodeOrder) };
+}
+
+export function encodeRedirect(node: string | null): object {
+  return node === null ? {} : { riferisce_a: node };
+}
+
+export function encodeCommands(token: number, session: Int, orders: Order[]): object {
+  return { mandato: token, turno: session, ordini: orders.map(encodeOrder) };
+}
+
+export const workerPaths = { commands: '/commands', inspect: '/inspect' };
+
+export function taskName(job: string, index: number): string {
+  return `${job}/${String(index)}`;
+}
+
+/** Job and index of a task's name, or null where it is none. */
+export function parseTaskName(name: string): { job: string; index: number } | null {
+  const match = /^(.+)\/(\d{1,9})$/.exec(name);
+  return match?.[1] === undefined ? null : { job: match[1], index: Number(match[2]) };
+}
--- /dev/null
+++ b/src/settings.ts
@@ -0,0 +1,109 @@
+import * as z from 'zod/mini';
+
+const address = z.string().check(z.regex(/^[\d.]+:\d{1,5}$/, 'must be IPv4:port'));
+const positive = z.number().check(z.positive());
+const limit = z._default(z.number().check(z.minimum(0)), 0);
+
+const schema = z.object({
+  node_name: z.string().check(z.minLength(1)),
+  zone: z.string().check(z.minLength(1)),
+  listen: address,
+  mesh_addr: address,
+  siblings: z._default(
+    z.array(z.object({ node_name: z.string(), zone: z.string(), peer_addr: address })),
+    [],
+  ),
+  endpoints: z.object({ cloud: address, state: address }),
+  deployment: z.object({
+    zones: z.array(z.string()).check(z.minLength(1)),
+    teams: z._default(
+      z.array(z.object({ name: z.string(), cpus: limit, cpus_max: limit, gpus: limit, gpus_max: limit })),
+      [],
+    ),
+    workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    state: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: positive }),
+    cloud: z.object({ rps: positive, list_lag_s: z._default(z.number(), 10) }),
+  }),
+});
+
+export interface NodeAddress {
+  name: string;
+  zone: string;
+  mesh: string;
+}
+
+export interface Team {
+  name: string;
+  /** Guaranteed; 0: none. */
+  cores: number;
+  accelerators: number;
+  /** Most at any moment; infinite where there is none. */
+  maxCores: number;
+  maxAccelerators: number;
+}
+
+export interface Settings {
+  node: string;
+  zone: string;
+  listen: string;
+  meshListen: string;
+  siblings: NodeAddress[];
+  cloud: string;
+  state: string;
+  zones: string[];
+  teams: Map<string, Team>;
+  reportMs: number;
+  leaseMs: number;
+  cancelMs: number;
+  stateRps: number;
+  stateWriteRps: number;
+  valueKb: number;
+  txnOps: number;
+  cloudRps: number;
+  listLagMs: number;
+}
+
+/** The platform's settings; throws an error of one line that names the field where they are bad. */
+export function readSettings(parsed: unknown): Settings {
+  const result = z.safeParse(schema, parsed);
+  if (!result.success) {
+    const issue = result.error.issues[0];
+    throw new Error(`${issue?.path.join('.') ?? '?'}: ${issue?.message ?? 'invalid'}`);
+  }
+  const s = result.data;
+  const d = s.deployment;
+  if (d.workers.cancel_s <= d.workers.lease_s)
+    throw new Error('deployment.workers.cancel_s: must exceed lease_s');
+  const most = (value: number): number => (value > 0 ? value : Infinity);
+  return {
+    node: s.node_name,
+    zone: s.zone,
+    listen: s.listen,
+    meshListen: s.mesh_addr,
+    siblings: s.siblings.map((p) => ({ name: p.node_name, zone: p.zone, mesh: p.peer_addr })),
+    cloud: s.endpoints.cloud,
+    state: s.endpoints.state,
+    zones: [...d.zones].sort(),
+    teams: new Map(
+      d.teams.map((t) => [
+        t.name,
+        {
+          name: t.name,
+          cores: t.cpus,
+          accelerators: t.gpus,
+          maxCores: most(t.cpus_max),
+          maxAccelerators: most(t.gpus_max),
+        },
+      ]),
+    ),
+    reportMs: d.workers.report_s * 1000,
+    leaseMs: d.workers.lease_s * 1000,
+    cancelMs: d.workers.cancel_s * 1000,
+    stateRps: d.state.rps,
+    stateWriteRps: d.state.write_rps,
+    valueKb: d.state.value_kb,
+    txnOps: d.state.txn_ops,
+    cloudRps: d.cloud.rps,
+    listLagMs: d.cloud.list_lag_s * 1000,
+  };
+}
--- /dev/null
+++ b/src/transport/http-client.ts
@@ -0,0 +1,73 @@
+import { Agent, request as httpRequest } from 'node:http';
+import { CLIENT_SOCKETS } from '../constants.ts';
+
+export interface HttpResponse {
+  status: number;
+  text: string;
+}
+
+/** The call got no complete answer: whether it was carried out is unknown. */
+export class NoAnswer extends Error {}
+
+export interface HttpCall {
+  address: string;
+  method: 'GET' | 'POST' | 'DELETE';
+  path: string;
+  body?: string;
+  deadlineMs: number;
+  signal?: AbortSignal;
+}
+
+export type HttpClient = (call: HttpCall) => Promise<HttpResponse>;
+
+/** A client that keeps connections open and gives every call a deadline for its whole answer. */
+export function httpClient(): HttpClient {
+  const agent = new Agent({ keepAlive: true, maxSockets: CLIENT_SOCKETS, scheduling: 'lifo' });
+  return (call) =>
+    new Promise((resolve, reject) => {
+      const colon = call.address.lastIndexOf(':');
+      const headers: Record<string, string | number> = {};
+      if (call.body !== undefined) {
+        headers['content-type'] = 'application/json';
+        headers['content-length'] = Buffer.byteLength(call.body);
+      }
+      const req = httpRequest({
+        agent,
+        host: call.address.slice(0, colon),
+        port: Number(call.address.slice(colon + 1)),
+        method: call.method,
+        path: call.path,
+        headers,
+      });
+      let settled = false;
+      const fail = (why: string): void => {
+        if (settled) return;
+        settled = true;
+        cleanUp();
+        req.destroy();
+        reject(new NoAnswer(`${call.method} ${call.path}: ${why}`));
+      };
+      const onAbort = (): void => fail('cancelled');
+      const timer = setTimeout(() => fail(`no answer within ${String(call.deadlineMs)} ms`), call.deadlineMs);
+      const cleanUp = (): void => {
+        clearTimeout(timer);
+        call.signal?.removeEventListener('abort', onAbort);
+      };
+      if (call.signal?.aborted) return fail('cancelled');
+      call.signal?.addEventListener('abort', onAbort);
+      req.on('error', (error) => fail(error.message));
+      req.on('response', (res) => {
+        const chunks: Buffer[] = [];
+        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.on('error', (error) => fail(error.message));
+        res.on('close', () => fail('connection closed'));
+        res.on('end', () => {
+          if (settled || !res.complete) return;
+          settled = true;
+          cleanUp();
+          resolve({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8') });
+        });
+      });
+      req.end(call.body);
+    });
+}
