--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -57,7 +57,7 @@
   id: z.string(),
   class: z.string(),
   team: z.string(),
-  kind: z.enum(['batch', 'service']),
+  kind: z.enum(['batch', 'service', 'gang']),
   priority: z.number(),
   tasks: z.number(),
   cores: z.number(),
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import {
   CATALOG_MS,
   CLOUD_DEADLINE_MS,
@@ -211,6 +212,8 @@
     if (!mine || this.owned.has(name)) return;
     const { settings, clock, random, log, http } = this.deps;
     const abort = new AbortController();
+    const ends = AbortSignal.any([this.deps.signal, abort.signal]);
+    setMaxListeners(0, ends); // every open call of the part listens
     const slices = [...this.slices].filter(([key]) => key.startsWith(`${name}/`));
     const part = new Part(
       name,
@@ -230,7 +233,7 @@
         proofMs: this.proofMs,
         onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
       },
-      AbortSignal.any([this.deps.signal, abort.signal]),
+      ends,
       {
         machines: [...(this.machines.get(name) ?? [])],
         slices: slices.map(([key, s]) => [key, s.record, s.version]),
--- a/src/coordination/jobs.ts
+++ b/src/coordination/jobs.ts
@@ -164,7 +164,7 @@
     if (!team) return 'unknown team';
     if (!catalog.some((type) => this.zonesFor(spec, type).length > 0))
       return 'a task fits no allowed machine type';
-    const atOnce = spec.kind === 'service' ? spec.tasks : 1;
+    const atOnce = spec.kind === 'batch' ? 1 : spec.tasks;
     if (spec.cores * atOnce > team.maxCores || spec.accelerators * atOnce > team.maxAccelerators) {
       return "needs more than the team's limit";
     }
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -120,14 +120,14 @@
 
   /** Who should take the part, best first: its zone's node, then whoever owns least. */
   private candidates(part: string, first: boolean): string[] {
-    const { self, siblings, parts } = this.context;
+    const { self, siblings } = this.context;
     const all = [self, ...siblings];
     // At the very first start the others are about to come up: they are waited for by rank.
     const among = first ? all : all.filter((node) => this.nodes.has(node.name));
     const owned = (name: string): number =>
       [...this.owners.values()].filter((record) => record.owner === name && this.alive(record)).length;
     const score = (node: { name: string; zone: string }): [number, number, number] => [
-      this.home(part) === node.name || (first && node.zone === parts.zoneOf(part)) ? 0 : 1,
+      this.home(part) === node.name ? 0 : 1,
       owned(node.name),
       hash(`${part}:${node.name}`),
     ];
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
 import { pino } from 'pino';
@@ -49,6 +50,7 @@
 const log = pino({ level, base: { node: settings.node } }, pino.destination({ fd: 2, sync: true }));
 
 const stop = new AbortController();
+setMaxListeners(0, stop.signal); // every duty and open call listens
 const incarnation = randomBytes(8).toString('hex');
 let mesh: Mesh | null = null;
 const controller = new Controller({
--- a/src/protocol/users.ts
+++ b/src/protocol/users.ts
@@ -1,7 +1,8 @@
 import * as z from 'zod/mini';
 import { MAX_TASKS, MAX_TEXT, MAX_TYPES } from '../constants.ts';
 
-export type JobKind = 'batch' | 'service';
+/** A gang's tasks wait for one another on their machines; see docs/questions.md. */
+export type JobKind = 'batch' | 'service' | 'gang';
 export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
 
 /** A job as its user described it, in the field's terms. Kept as it is in the state service. */
@@ -40,7 +41,7 @@
   id: z.string().check(z.regex(JOB_ID)),
   lot: text,
   ufficio: text,
-  genere: z.enum(['batch', 'standing']),
+  genere: z.enum(['batch', 'standing', 'gang']),
   urgenza: z.enum(priorities),
   pratiche: z.int().check(z.minimum(1), z.maximum(MAX_TASKS)),
   cores: amount,
@@ -68,7 +69,7 @@
     id: b.id,
     class: b.lot,
     team: b.ufficio,
-    kind: b.genere === 'batch' ? 'batch' : 'service',
+    kind: b.genere === 'standing' ? 'service' : b.genere,
     priority: priorities.indexOf(b.urgenza),
     tasks: b.pratiche,
     cores: b.cores,
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -3,7 +3,7 @@
 import { int } from './schema.ts';
 
 export type TaskState = 'fetching' | 'running' | 'saving' | 'ended';
-export type EndReason = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+export type EndReason = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown' | 'gang';
 
 export interface ReportedTask {
   task: string;
@@ -63,6 +63,8 @@
   full: 'no_room',
   busy: 'busy',
   no_such: 'unknown',
+  peers: 'gang',
+  alone: 'gang',
 };
 
 /** The report, or null where the body is malformed. An unknown state counts as running: it holds its place. */
--- /dev/null
+++ b/test/fakes.ts
@@ -0,0 +1,330 @@
+import type { Clock } from '../src/transport/clock.ts';
+import { type HttpCall, type HttpClient, type HttpResponse, NoAnswer } from '../src/transport/http-client.ts';
+import type { Log } from '../src/transport/routine.ts';
+
+/** A clock that stands still until a story moves it on. */
+export class FakeClock implements Clock {
+  private time = 1000;
+  private waits: { at: number; wake: () => void }[] = [];
+
+  now(): number {
+    return this.time;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) return resolve();
+      this.waits.push({ at: this.time + Math.max(0, ms), wake: resolve });
+      signal?.addEventListener('abort', () => resolve());
+    });
+  }
+
+  /** Lets time pass in small steps, so that what a wait sets off happens at its own time. */
+  async pass(ms: number): Promise<void> {
+    const end = this.time + ms;
+    await settle();
+    while (this.time < end) {
+      const next = Math.min(end, ...this.waits.map((wait) => wait.at).filter((at) => at > this.time));
+      this.time = next;
+      const due = this.waits.filter((wait) => wait.at <= next);
+      this.waits = this.waits.filter((wait) => wait.at > next);
+      for (const wait of due) wait.wake();
+      await settle();
+    }
+  }
+}
+
+/** Lets everything run that does not wait for time. */
+export async function settle(): Promise<void> {
+  for (let i = 0; i < 12; i++) await new Promise((resolve) => setImmediate(resolve));
+}
+
+export const silentLog: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
+
+type Answer = { status: number; body: unknown };
+type Server = (method: string, path: string, body: unknown) => Answer | Promise<Answer>;
+/** `lost`: carried out, its answer lost. `held`: carried out when the cut ends. */
+export type Fault = 'none' | 'silent' | 'lost' | 'held' | 'refused';
+
+/** A network of servers by address, with a fault that can be set for each pair of client and address. */
+export class FakeNetwork {
+  private readonly servers = new Map<string, Server>();
+  private readonly faults = new Map<string, Fault>();
+  private held: (() => void)[] = [];
+
+  constructor(private readonly clock: FakeClock) {}
+
+  serve(address: string, server: Server): void {
+    this.servers.set(address, server);
+  }
+
+  fault(client: string, address: string, fault: Fault): void {
+    this.faults.set(`${client}>${address}`, fault);
+  }
+
+  /** Delivers what cuts have held back, in order. */
+  deliverHeld(): void {
+    for (const deliver of this.held.splice(0)) deliver();
+  }
+
+  client(name: string): HttpClient {
+    return async (call: HttpCall): Promise<HttpResponse> => {
+      const fault = this.faults.get(`${name}>${call.address}`) ?? 'none';
+      const body: unknown = call.body === undefined ? undefined : JSON.parse(call.body);
+      const server = this.servers.get(call.address);
+      const carryOut = (): Answer | Promise<Answer> =>
+        server?.(call.method, call.path, body) ?? { status: 404, body: {} };
+      if (fault === 'refused') return { status: 503, text: '{}' };
+      if (!server || fault !== 'none') {
+        if (fault === 'lost') await carryOut();
+        if (fault === 'held') this.held.push(() => void carryOut());
+        await this.clock.sleep(call.deadlineMs, call.signal);
+        throw new NoAnswer(`${call.path}: no answer`);
+      }
+      const answer = await carryOut();
+      return { status: answer.status, text: JSON.stringify(answer.body) };
+    };
+  }
+}
+
+interface Stored {
+  v: unknown;
+  edizione: number;
+  lease: number | null;
+}
+
+/** The state service by its published protocol, in memory. */
+export class FakeState {
+  readonly data = new Map<string, Stored>();
+  down = false;
+  private revision = 1;
+  private leases = new Map<number, { life: number; until: number }>();
+  private history: ({ put: string; v: unknown; edizione: number } | { remove: string; edizione: number })[] =
+    [];
+  private nextLease = 1;
+
+  constructor(private readonly clock: FakeClock) {}
+
+  read(key: string): unknown {
+    return this.data.get(key)?.v;
+  }
+
+  /** Ends leases that have run out; nothing does by itself here. */
+  private expire(): void {
+    for (const [id, lease] of this.leases) {
+      if (lease.until > this.clock.now()) continue;
+      this.leases.delete(id);
+      const keys = [...this.data].filter(([, stored]) => stored.lease === id).map(([key]) => key);
+      if (keys.length === 0) continue;
+      this.revision++;
+      for (const key of keys) this.remove(key);
+    }
+  }
+
+  private remove(key: string): void {
+    if (this.data.delete(key)) this.history.push({ remove: key, edizione: this.revision });
+  }
+
+  server: Server = async (method, path, body) => {
+    if (this.down) return { status: 503, body: {} };
+    this.expire();
+    const url = new URL(path, 'http://state');
+    if (url.pathname === '/txn') return this.txn(body as never);
+    if (url.pathname === '/grants') {
+      const life = (body as { life_ms: number }).life_ms;
+      this.leases.set(this.nextLease, { life, until: this.clock.now() + life });
+      return { status: 200, body: { concessione: this.nextLease++ } };
+    }
+    const extend = /^\/grants\/(\d+)\/extend$/.exec(url.pathname);
+    if (extend) {
+      const lease = this.leases.get(Number(extend[1]));
+      if (!lease) return { status: 404, body: {} };
+      lease.until = this.clock.now() + lease.life;
+      return { status: 200, body: {} };
+    }
+    if (url.pathname === '/follow') return this.follow(url);
+    if (url.pathname === '/kv') return this.list(url);
+    if (method === 'GET' && url.pathname.startsWith('/kv/')) {
+      const key = url.pathname.slice(4);
+      const stored = this.data.get(key);
+      if (!stored) return { status: 404, body: { protocollo: this.revision } };
+      return { status: 200, body: { key, v: stored.v, edizione: stored.edizione } };
+    }
+    return { status: 400, body: {} };
+  };
+
+  private txn(t: {
+    when: { key: string; edizione: number }[];
+    writes: { put?: string; remove?: string; v?: unknown; concessione?: number }[];
+  }): Answer {
+    const failed = t.when
+      .filter((c) => (this.data.get(c.key)?.edizione ?? 0) !== c.edizione)
+      .map((c) => c.key);
+    if (failed.length > 0) return { status: 409, body: { failed, protocollo: this.revision } };
+    if (t.writes.some((w) => w.concessione !== undefined && !this.leases.has(w.concessione))) {
+      return { status: 400, body: { error: 'no such lease' } };
+    }
+    this.revision++;
+    for (const w of t.writes) {
+      if (w.remove !== undefined) this.remove(w.remove);
+      if (w.put === undefined) continue;
+      this.data.set(w.put, {
+        v: structuredClone(w.v),
+        edizione: this.revision,
+        lease: w.concessione ?? null,
+      });
+      this.history.push({ put: w.put, v: structuredClone(w.v), edizione: this.revision });
+    }
+    return { status: 200, body: { protocollo: this.revision } };
+  }
+
+  private list(url: URL): Answer {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const from = url.searchParams.get('from') ?? '';
+    const keys = [...this.data.keys()].filter((key) => key.startsWith(prefix) && key > from).sort();
+    const items = keys.map((key) => ({
+      key,
+      v: this.data.get(key)?.v,
+      edizione: this.data.get(key)?.edizione,
+    }));
+    return { status: 200, body: { items, truncated: false, protocollo: this.revision } };
+  }
+
+  private async follow(url: URL): Promise<Answer> {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const from = Number(url.searchParams.get('from'));
+    const until = this.clock.now() + Number(url.searchParams.get('hold_ms') ?? '0');
+    for (;;) {
+      this.expire();
+      const events = this.history.filter(
+        (e) => e.edizione > from && ('put' in e ? e.put : e.remove).startsWith(prefix),
+      );
+      if (!this.down && (events.length > 0 || this.clock.now() >= until)) {
+        return { status: 200, body: { events, protocollo: this.revision } };
+      }
+      await this.clock.sleep(50);
+    }
+  }
+}
+
+type ReportedTask = { pratica: string; tentativo: number; stato: string; causale?: string };
+type WireOrder = { ordine: string; pratica: string; tentativo: number };
+
+/** A worker by its published protocol: tokens, sessions, leases and commands; tasks end when told to. */
+export class FakeWorker {
+  token = 0;
+  session = 1;
+  seq = 0;
+  tasks: ReportedTask[] = [];
+  /** Every task ever started here, with the time. */
+  readonly started: { task: string; attempt: number; at: number }[] = [];
+  private answeredAt: number;
+
+  constructor(
+    readonly id: string,
+    readonly zone: string,
+    private readonly clock: FakeClock,
+    private readonly leaseMs: number,
+    readonly spot = false,
+  ) {
+    this.answeredAt = clock.now();
+  }
+
+  get address(): string {
+    return `worker-${this.id}:1`;
+  }
+
+  running(): string[] {
+    this.checkLease();
+    return this.tasks.filter((t) => t.stato !== 'ended').map((t) => t.pratica);
+  }
+
+  finish(task: string, reason = 'done'): void {
+    for (const t of this.tasks) {
+      if (t.pratica === task && t.stato !== 'ended') Object.assign(t, { stato: 'ended', causale: reason });
+    }
+  }
+
+  checkLease(): void {
+    if (this.clock.now() - this.answeredAt <= this.leaseMs) return;
+    this.tasks = [];
+    this.session++;
+    this.answeredAt = this.clock.now();
+  }
+
+  report(): Record<string, unknown> {
+    this.checkLease();
+    return {
+      banco: this.id,
+      endpoint: this.address,
+      modello: 'small',
+      sede: this.zone,
+      prestiti: this.spot,
+      turno: this.session,
+      progressivo: ++this.seq,
+      mandato: this.token,
+      preavviso_s: null,
+      pratiche: structuredClone(this.tasks),
+    };
+  }
+
+  /** What a report's answer does; false if it is dropped. */
+  answered(sentAt: number, session: number, answer: { mandato: number; ordini: WireOrder[] }): boolean {
+    this.checkLease();
+    if (session !== this.session || answer.mandato < this.token) return false;
+    this.token = answer.mandato;
+    this.answeredAt = sentAt;
+    this.carryOut(answer.ordini);
+    return true;
+  }
+
+  private carryOut(orders: WireOrder[]): void {
+    for (const o of orders) {
+      const known = this.tasks.find((t) => t.pratica === o.pratica && t.tentativo === o.tentativo);
+      if (o.ordine === 'launch' && !known) {
+        this.tasks.push({ pratica: o.pratica, tentativo: o.tentativo, stato: 'running' });
+        this.started.push({ task: o.pratica, attempt: o.tentativo, at: this.clock.now() });
+      }
+      if (o.ordine === 'halt' && known && known.stato !== 'ended')
+        Object.assign(known, { stato: 'ended', causale: 'stopped' });
+      if (o.ordine === 'forget') this.tasks = this.tasks.filter((t) => t !== known || t.stato !== 'ended');
+    }
+  }
+
+  server: Server = (_method, path, body) => {
+    this.checkLease();
+    if (path === '/inspect') return { status: 200, body: this.report() };
+    const c = body as { mandato: number; turno: number; ordini: WireOrder[] };
+    if (c.mandato < this.token || c.turno !== this.session) return { status: 409, body: this.report() };
+    this.token = c.mandato;
+    this.carryOut(c.ordini);
+    return { status: 200, body: this.report() };
+  };
+}
+
+/** The cloud by its published protocol, with nothing to rent unless a story adds capacity. */
+export class FakeCloud {
+  readonly returned: string[] = [];
+  onReturn: (id: string) => void = () => {};
+
+  constructor(private readonly zones: string[]) {}
+
+  server: Server = (_method, path, body) => {
+    if (path === '/catalog') {
+      const type = { name: 'small', cores: 8, accelerators: 0, ram_gb: 32, local_gb: 50, pull_gb_per_s: 1 };
+      return {
+        status: 200,
+        body: { modelli: [{ ...type, rate: 1, low_price: 0.5, ready_s: 30, sedi: this.zones }] },
+      };
+    }
+    if (path === '/hosts/return') {
+      for (const id of (body as { banchi: string[] }).banchi) {
+        this.returned.push(id);
+        this.onReturn(id);
+      }
+      return { status: 200, body: {} };
+    }
+    if (path === '/hosts') return { status: 503, body: { error: 'no capacity' } };
+    return { status: 200, body: { banchi: [], truncated: false } };
+  };
+}
