--- /dev/null
+++ b/test/cluster.ts
@@ -0,0 +1,229 @@
+import { Controller } from '../src/coordination/controller.ts';
+import { httpApi } from '../src/protocol/http-api.ts';
+import { parseJson } from '../src/protocol/json.ts';
+import type { MeshMessage } from '../src/protocol/mesh.ts';
+import { readSettings } from '../src/settings.ts';
+import { seededRandom } from '../src/transport/random.ts';
+import { FakeClock, FakeCloud, FakeNetwork, FakeState, FakeWorker, settle, silentLog } from './fakes.ts';
+
+const STATE = 'state:1';
+const CLOUD = 'cloud:1';
+export const REPORT_MS = 2000;
+export const LEASE_MS = 16_000;
+export const CANCEL_MS = 40_000;
+
+interface Node {
+  name: string;
+  controller: Controller;
+  app: ReturnType<typeof httpApi>;
+  abort: AbortController;
+  up: boolean;
+}
+
+export interface Answer {
+  status: number;
+  body: Record<string, unknown>;
+}
+
+/** Controllers, workers, cloud and state service of a story, all in memory under one fake clock. */
+export class Cluster {
+  readonly clock = new FakeClock();
+  readonly state = new FakeState(this.clock);
+  readonly network = new FakeNetwork(this.clock);
+  readonly cloud: FakeCloud;
+  readonly workers = new Map<string, FakeWorker>();
+  private readonly nodes = new Map<string, Node>();
+  /** Workers whose reports do not arrive anywhere. */
+  readonly mute = new Set<string>();
+  /** Pairs of node and worker that cannot reach each other for reports. */
+  private starts = 0;
+  private readonly cutMesh = new Set<string>();
+
+  constructor(
+    readonly zones: string[],
+    private readonly maxCores = 0,
+  ) {
+    this.cloud = new FakeCloud(zones);
+    this.cloud.onReturn = (id) => this.workers.delete(id);
+    this.network.serve(STATE, this.state.server);
+    this.network.serve(CLOUD, this.cloud.server);
+  }
+
+  static readonly nodeOf = (zone: string): string => `node-${zone}`;
+
+  start(zone: string): void {
+    const name = Cluster.nodeOf(zone);
+    const abort = new AbortController();
+    const address = (n: string): string => `127.0.0.1:${String(9000 + this.zones.indexOf(n))}`;
+    const settings = readSettings({
+      node_name: name,
+      zone,
+      listen: address(zone),
+      mesh_addr: address(zone),
+      siblings: this.zones
+        .filter((z) => z !== zone)
+        .map((z) => ({ node_name: Cluster.nodeOf(z), zone: z, peer_addr: address(z) })),
+      endpoints: { cloud: '127.0.0.1:1', state: '127.0.0.1:2' },
+      deployment: {
+        zones: this.zones,
+        teams: [{ name: 'red', cpus_max: this.maxCores }],
+        workers: { report_s: REPORT_MS / 1000, lease_s: LEASE_MS / 1000, cancel_s: CANCEL_MS / 1000 },
+        state: { rps: 1000, write_rps: 1000, value_kb: 8, txn_ops: 12 },
+        cloud: { rps: 100 },
+      },
+    });
+    const controller = new Controller({
+      settings: { ...settings, state: STATE, cloud: CLOUD },
+      incarnation: `i${String(++this.starts)}`,
+      clock: this.clock,
+      wallClock: () => this.clock.now(),
+      random: seededRandom(7),
+      log: silentLog,
+      http: this.network.client(name),
+      sendToSibling: (peer, message) => this.sendMesh(name, peer, message),
+      connectedSiblings: () => [...this.nodes.keys()].filter((n) => n !== name && this.meshOpen(name, n)),
+      signal: abort.signal,
+    });
+    const node: Node = { name, controller, app: httpApi(controller), abort, up: true };
+    this.nodes.set(name, node);
+    void controller.run();
+  }
+
+  /** Ends the process without a signal, as the platform does. */
+  crash(zone: string): void {
+    const node = this.node(zone);
+    node.up = false;
+    node.abort.abort();
+  }
+
+  cutSiblings(zone: string): void {
+    this.cutMesh.add(Cluster.nodeOf(zone));
+  }
+
+  private meshOpen(a: string, b: string): boolean {
+    const up = (n: string): boolean => this.nodes.get(n)?.up ?? false;
+    return up(a) && up(b) && !this.cutMesh.has(a) && !this.cutMesh.has(b);
+  }
+
+  private sendMesh(from: string, to: string, message: MeshMessage): boolean {
+    if (!this.meshOpen(from, to)) return false;
+    setImmediate(() => this.nodes.get(to)?.controller.onMessage(from, structuredClone(message)));
+    return true;
+  }
+
+  private node(zone: string): Node {
+    const node = this.nodes.get(Cluster.nodeOf(zone));
+    if (!node) throw new Error(`no node in ${zone}`);
+    return node;
+  }
+
+  owned(zone: string): string[] {
+    return this.node(zone).controller.ownedParts;
+  }
+
+  addWorker(id: string, zone: string, spot = false): FakeWorker {
+    const worker = new FakeWorker(id, zone, this.clock, LEASE_MS, spot);
+    this.workers.set(id, worker);
+    this.network.serve(worker.address, worker.server);
+    void this.reportLoop(worker);
+    return worker;
+  }
+
+  /** Reports to one node at a time, moving on as the protocol says. */
+  private async reportLoop(worker: FakeWorker): Promise<void> {
+    let at = Cluster.nodeOf(worker.zone);
+    const next = (): string => {
+      const names = [...this.nodes.keys()];
+      return names[(names.indexOf(at) + 1) % names.length] ?? at;
+    };
+    while (this.workers.has(worker.id)) {
+      await this.clock.sleep(REPORT_MS);
+      if (this.mute.has(worker.id) || !this.workers.has(worker.id)) continue;
+      const node = this.nodes.get(at);
+      if (!node?.up) {
+        at = next();
+        continue;
+      }
+      const sentAt = this.clock.now();
+      const session = worker.session;
+      const response = await node.app.request('/checkin', {
+        method: 'POST',
+        body: JSON.stringify(worker.report()),
+      });
+      const body = (await response.json()) as Record<string, unknown>;
+      if (response.status === 200) worker.answered(sentAt, session, body as never);
+      else if (response.status === 421 && typeof body['riferisce_a'] === 'string') at = body['riferisce_a'];
+      else at = next();
+    }
+  }
+
+  private async call(zone: string, path: string, init?: RequestInit): Promise<Answer> {
+    const promise = (async () => await this.node(zone).app.request(path, init))();
+    let response: Response | null = null;
+    void promise.then((r) => (response = r));
+    await settle();
+    for (let i = 0; i < 40 && response === null; i++) await this.clock.pass(100);
+    const final = await promise;
+    const text = await final.text();
+    return { status: final.status, body: (text === '' ? {} : parseJson(text)) as Record<string, unknown> };
+  }
+
+  submit(zone: string, id: string, tasks: number, more: object = {}): Promise<Answer> {
+    return this.post(zone, { ...job(id, tasks), ...more });
+  }
+
+  post(zone: string, body: unknown): Promise<Answer> {
+    return this.call(zone, '/v1/jobs', {
+      method: 'POST',
+      body: typeof body === 'string' ? body : JSON.stringify(body),
+    });
+  }
+
+  poll(zone: string, id: string): Promise<Answer> {
+    return this.call(zone, `/v1/jobs/${id}`);
+  }
+
+  withdraw(zone: string, id: string): Promise<Answer> {
+    return this.call(zone, `/v1/jobs/${id}/withdraw`, { method: 'POST' });
+  }
+
+  /** Makes calls of a node to an address fail; `state` stands for the state service. */
+  fault(zone: string, address: string, fault: Parameters<FakeNetwork['fault']>[2]): void {
+    this.network.fault(Cluster.nodeOf(zone), address === 'state' ? STATE : address, fault);
+  }
+
+  /** Tasks on all machines now. */
+  onMachines(): string[] {
+    return [...this.workers.values()].flatMap((w) => w.running()).sort();
+  }
+
+  stop(): void {
+    for (const node of this.nodes.values()) node.abort.abort();
+    this.workers.clear();
+  }
+}
+
+export function job(id: string, tasks: number): Record<string, unknown> {
+  return {
+    id,
+    lot: 'nightly',
+    ufficio: 'red',
+    genere: 'batch',
+    urgenza: 'standard',
+    pratiche: tasks,
+    cores: 2.0,
+    accelerators: 0.0,
+    ram_gb: 4.0,
+    stampo: 'img',
+    size_gb: 1.0,
+    modelli: null,
+    sede: null,
+    same_place: false,
+    apart: false,
+    prestiti: false,
+    stima_s: 10.0,
+    salvataggio_s: 0.0,
+    scrittura_s: 0.0,
+    scadenza_s: null,
+  };
+}
--- /dev/null
+++ b/test/stories.test.ts
@@ -0,0 +1,361 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { CANCEL_MS, Cluster, job, LEASE_MS, REPORT_MS } from './cluster.ts';
+
+let c: Cluster;
+const zones = ['a', 'b', 'c'];
+
+/** Three controllers, two workers a zone, everything settled. */
+async function cluster(maxCores = 0): Promise<Cluster> {
+  const made = new Cluster(zones, maxCores);
+  for (const zone of zones) made.start(zone);
+  for (const zone of zones) for (const n of [1, 2]) made.addWorker(`${zone}${String(n)}`, zone);
+  await made.clock.pass(4 * REPORT_MS);
+  return made;
+}
+
+/** Lets running tasks end until the job is told done, or a number of rounds is over. */
+async function workUntilDone(zone: string, id: string, rounds = 30): Promise<string> {
+  let state = '';
+  for (let i = 0; i < rounds && state !== 'done'; i++) {
+    for (const w of c.workers.values()) for (const task of w.running()) w.finish(task);
+    await c.clock.pass(REPORT_MS);
+    const answer = await c.poll(zone, id);
+    if (answer.status === 200) state = String(answer.body['stato']);
+  }
+  return state;
+}
+
+const startsOf = (task: string): number =>
+  [...c.workers.values()].flatMap((w) => w.started).filter((s) => s.task === task).length;
+
+describe('users', () => {
+  beforeEach(async () => void (c = await cluster()));
+  afterEach(() => c.stop());
+
+  it('runs a job to its end and keeps telling so', async () => {
+    const accepted = await c.submit('a', 'j-1', 9);
+    assert.deepEqual([accepted.status, accepted.body], [201, { id: 'j-1', stato: 'queued' }]);
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 9);
+    const running = await c.poll('b', 'j-1');
+    assert.equal(running.body['stato'], 'running');
+    assert.equal(await workUntilDone('b', 'j-1'), 'done');
+    assert.equal((await c.submit('c', 'j-1', 9)).body['stato'], 'done');
+    for (let i = 0; i < 9; i++) assert.equal(startsOf(`j-1/${String(i)}`), 1);
+  });
+
+  it('refuses what it cannot take, by kind', async () => {
+    const statuses = async (...bodies: unknown[]): Promise<number[]> => {
+      const all: number[] = [];
+      for (const body of bodies) all.push((await c.post('a', body)).status);
+      return all;
+    };
+    const good = job('j-5', 2);
+    assert.deepEqual(
+      await statuses('no json', '[]', 'null', '7', { ...good, cores: 'x' }, { ...good, id: 'x' }),
+      [400, 400, 400, 400, 400, 400],
+    );
+    assert.deepEqual(
+      await statuses({ ...good, pratiche: 0 }, { ...good, pratiche: 1.5 }, { ...good, lot: undefined }),
+      [400, 400, 400],
+    );
+    assert.deepEqual(
+      await statuses(
+        { ...good, ufficio: 'x' },
+        { ...good, cores: 9 },
+        { ...good, modelli: ['x'] },
+        { ...good, sede: 'x' },
+      ),
+      [422, 422, 422, 422],
+    );
+    assert.deepEqual(await statuses('x'.repeat(70_000)), [413]);
+    assert.equal((await c.poll('a', 'j-5')).status, 404);
+    assert.equal((await c.poll('a', 'nonsense')).status, 404);
+    assert.equal((await c.withdraw('a', 'j-5')).status, 404);
+    assert.deepEqual(c.onMachines(), []);
+  });
+
+  it('takes a job of a hundred thousand tasks in one transaction', async () => {
+    assert.equal((await c.submit('a', 'j-6', 100_000)).status, 201);
+    const slices = [...c.state.data].filter(([key]) => key.startsWith('live/slice/'));
+    const total = slices.reduce((sum, [, stored]) => sum + (stored.v as { count: number }).count, 0);
+    assert.equal(total, 100_000);
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 6 * 4);
+  });
+
+  it('withdraws a job: its tasks stop, nothing of it starts again, and the answer stays', async () => {
+    await c.submit('a', 'j-7', 40);
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 24);
+    assert.equal((await c.withdraw('b', 'j-7')).body['stato'], 'aborted');
+    await c.clock.pass(2 * REPORT_MS);
+    assert.deepEqual(c.onMachines(), []);
+    assert.equal((await c.poll('c', 'j-7')).body['stato'], 'aborted');
+    assert.equal((await c.submit('c', 'j-7', 40)).body['stato'], 'aborted');
+  });
+
+  it('never answers 404 or goes back when the answer to an acceptance is lost', async () => {
+    c.fault('a', 'state', 'lost');
+    const answer = await c.submit('a', 'j-8', 3);
+    c.fault('a', 'state', 'none');
+    // The sibling it was passed on to finds the job there.
+    assert.equal(answer.status, 200);
+    for (const zone of zones) assert.equal((await c.poll(zone, 'j-8')).status, 200);
+  });
+
+  it('answers at once, with when to come back, while the state service is down; what is over stays over', async () => {
+    await c.submit('a', 'j-9', 3);
+    await c.clock.pass(REPORT_MS);
+    assert.equal(await workUntilDone('a', 'j-9'), 'done');
+    c.state.down = true;
+    await c.clock.pass(REPORT_MS);
+    assert.equal((await c.submit('a', 'j-10', 3)).status, 503);
+    assert.equal((await c.poll('a', 'j-9')).body['stato'], 'done');
+    assert.equal((await c.poll('b', 'j-9')).status, 503, 'a node that has not read it does not guess');
+    c.state.down = false;
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal((await c.submit('a', 'j-10', 3)).status, 201);
+  });
+
+  it('passes requests on when this node alone is refused by the state service', async () => {
+    c.fault('a', 'state', 'refused');
+    await c.clock.pass(REPORT_MS);
+    assert.equal((await c.submit('a', 'j-11', 3)).status, 201);
+    assert.equal((await c.poll('a', 'j-11')).status, 200);
+    assert.equal((await c.poll('a', 'j-404')).status, 404);
+  });
+});
+
+describe('zone rules', () => {
+  beforeEach(async () => void (c = await cluster()));
+  afterEach(() => c.stop());
+
+  const zonesOf = (id: string): string[] =>
+    [...c.workers.values()].flatMap((w) =>
+      w
+        .running()
+        .filter((t) => t.startsWith(`${id}/`))
+        .map(() => w.zone),
+    );
+
+  it('keeps one-zone jobs together, spread jobs apart, and zoned jobs at home', async () => {
+    await c.submit('a', 'j-20', 4, { same_place: true });
+    await c.submit('a', 'j-21', 5, { apart: true });
+    await c.submit('a', 'j-22', 2, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(zonesOf('j-20').length, 4);
+    assert.equal(new Set(zonesOf('j-20')).size, 1);
+    const spread = zonesOf('j-21');
+    assert.equal(spread.length, 5);
+    for (const zone of zones) assert.ok(spread.filter((z) => z === zone).length <= 3);
+    assert.deepEqual(zonesOf('j-22'), ['b', 'b']);
+  });
+
+  it('starts a job that does not allow spot machines on ordinary ones only', async () => {
+    c.addWorker('a9', 'a', true);
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-23', 40, { sede: 'a' });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.deepEqual(c.workers.get('a9')?.running(), []);
+    await c.submit('a', 'j-24', 2, { sede: 'a', prestiti: true });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.deepEqual(c.workers.get('a9')?.running().length, 2);
+  });
+});
+
+describe('failures', () => {
+  afterEach(() => c.stop());
+
+  it('takes over a crashed node’s part and keeps its tasks where they are', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-30', 24);
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 24);
+    c.crash('b');
+    await c.clock.pass(10_000);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    assert.equal(c.onMachines().length, 24);
+    assert.equal(await workUntilDone('a', 'j-30'), 'done');
+    for (let i = 0; i < 24; i++) assert.equal(startsOf(`j-30/${String(i)}`), 1);
+    c.start('b');
+    await c.clock.pass(10_000);
+    assert.deepEqual(c.owned('b'), ['b'], 'handed back to its home');
+  });
+
+  it('starts nothing twice when a machine is unreachable through a takeover', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-31', 8, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const cut = c.workers.get('b1');
+    assert.equal(cut?.running().length, 4);
+    const its = cut.running();
+    // Nobody reaches the machine, and the cloud cannot be asked to return it.
+    c.mute.add('b1');
+    for (const zone of zones) {
+      c.fault(zone, cut.address, 'silent');
+      c.fault(zone, 'cloud:1', 'refused');
+    }
+    c.crash('b');
+    await c.clock.pass(LEASE_MS - 2000);
+    for (const w of c.workers.values()) if (w.id !== 'b1') for (const t of w.running()) w.finish(t);
+    await c.clock.pass(1500);
+    for (const task of its) assert.equal(startsOf(task), 1, 'its lease may still run');
+    // Past every lease that could run, they start elsewhere.
+    await c.clock.pass(CANCEL_MS + LEASE_MS);
+    assert.deepEqual(cut.running(), []);
+    for (const task of its) assert.equal(startsOf(task), 2);
+  });
+
+  it('frees the tasks of a silent machine as soon as the cloud has returned it', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-32', 4, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const [host] = [...c.workers.values()].filter((w) => w.running().length > 0);
+    assert.ok(host);
+    const its = host.running();
+    c.mute.add(host.id);
+    for (const zone of zones) c.fault(zone, host.address, 'silent');
+    await c.clock.pass(LEASE_MS - 2000);
+    assert.ok(c.cloud.returned.includes(host.id));
+    for (const task of its) assert.equal(startsOf(task), 2);
+  });
+
+  it('lets a stale owner’s late transaction fail', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-33', 2, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    c.fault('b', 'state', 'held');
+    for (const w of c.workers.values()) for (const t of w.running().slice(0, 1)) w.finish(t);
+    await c.clock.pass(12_000);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    const before = structuredClone(c.state.read('live/part/b'));
+    c.network.deliverHeld();
+    await c.clock.pass(1000);
+    assert.deepEqual(c.state.read('live/part/b'), before);
+    c.fault('b', 'state', 'none');
+    assert.equal(await workUntilDone('a', 'j-33'), 'done');
+  });
+
+  it('does not let a launch that arrives late start a task again', async () => {
+    c = await cluster();
+    for (const id of ['b1', 'b2']) c.fault('b', `worker-${id}:1`, 'held');
+    await c.submit('a', 'j-34', 3, { sede: 'b' });
+    // The direct launch is held; the report's answer brings the same attempt, which runs to its end.
+    assert.equal(await workUntilDone('a', 'j-34'), 'done');
+    await c.clock.pass(2 * REPORT_MS);
+    c.network.deliverHeld();
+    await c.clock.pass(REPORT_MS);
+    for (let i = 0; i < 3; i++) assert.equal(startsOf(`j-34/${String(i)}`), 1);
+    assert.deepEqual(c.onMachines(), []);
+  });
+
+  it('stops a task whose launch arrives after its job was withdrawn', async () => {
+    c = await cluster();
+    for (const id of ['b1', 'b2']) {
+      c.fault('b', `worker-${id}:1`, 'held');
+      c.mute.add(id);
+    }
+    await c.submit('a', 'j-35', 2, { sede: 'b' });
+    await c.clock.pass(200);
+    assert.equal((await c.withdraw('a', 'j-35')).body['stato'], 'aborted');
+    c.network.deliverHeld();
+    assert.equal(c.onMachines().length, 2, 'the late launches were carried out');
+    for (const id of ['b1', 'b2']) c.mute.delete(id);
+    await c.clock.pass(4 * REPORT_MS);
+    assert.deepEqual(c.onMachines(), []);
+  });
+
+  it('has a withdrawn job’s tasks gone in time though their owner is cut off from all but the workers', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-36', 8, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    c.fault('b', 'state', 'silent');
+    c.cutSiblings('b');
+    // Nobody else can command the machines, so only the old owner's silence ends their leases.
+    for (const zone of ['a', 'c']) for (const id of ['b1', 'b2']) c.fault(zone, `worker-${id}:1`, 'silent');
+    for (const zone of zones) c.fault(zone, 'cloud:1', 'refused');
+    await c.clock.pass(200);
+    assert.equal((await c.withdraw('a', 'j-36')).body['stato'], 'aborted');
+    await c.clock.pass(CANCEL_MS);
+    assert.deepEqual(c.onMachines(), []);
+  });
+
+  it('keeps a team’s limit through a takeover and a withdrawal', async () => {
+    c = await cluster(18);
+    const most = (): void =>
+      assert.ok(c.onMachines().length * 2 <= 18, `${String(c.onMachines().length)} tasks`);
+    await c.submit('a', 'j-37', 20);
+    await c.submit('a', 'j-38', 20);
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 9);
+    c.crash('b');
+    await c.withdraw('a', 'j-37');
+    for (let i = 0; i < 20; i++) {
+      await c.clock.pass(500);
+      most();
+    }
+    for (let i = 0; i < 20; i++) {
+      for (const w of c.workers.values()) for (const t of w.running().slice(0, 1)) w.finish(t);
+      await c.clock.pass(REPORT_MS / 2);
+      most();
+    }
+    assert.equal(await workUntilDone('a', 'j-38'), 'done');
+  });
+
+  it('gives a part the share of a limit that the others leave unused', async () => {
+    c = await cluster(18);
+    await c.submit('a', 'j-39', 12, { sede: 'b' });
+    await c.clock.pass(6 * REPORT_MS);
+    assert.equal(
+      c.onMachines().length,
+      8,
+      'all that its two machines hold, though its even share is three tasks',
+    );
+  });
+
+  it('keeps tasks running through an outage in which every controller ends', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-40', 24);
+    await c.clock.pass(2 * REPORT_MS);
+    c.state.down = true;
+    await c.clock.pass(2000);
+    for (const zone of zones) c.crash(zone);
+    await c.clock.pass(1000);
+    for (const zone of zones) c.start(zone);
+    await c.clock.pass(2000);
+    c.state.down = false;
+    await c.clock.pass(8000);
+    assert.equal(c.onMachines().length, 24);
+    assert.equal(await workUntilDone('a', 'j-40'), 'done');
+    for (let i = 0; i < 24; i++) assert.equal(startsOf(`j-40/${String(i)}`), 1);
+  });
+
+  it('returns a machine on which tasks of several jobs fail, and finishes the jobs elsewhere', async () => {
+    c = await cluster();
+    const sick = c.workers.get('b1');
+    assert.ok(sick);
+    await c.submit('a', 'j-41', 6, { sede: 'b' });
+    await c.submit('a', 'j-42', 6, { sede: 'b' });
+    for (let i = 0; i < 40 && c.workers.has('b1'); i++) {
+      for (const t of sick.running()) sick.finish(t, 'error');
+      await c.clock.pass(REPORT_MS);
+    }
+    assert.deepEqual(c.cloud.returned, ['b1']);
+    assert.equal(await workUntilDone('a', 'j-41'), 'done');
+    assert.equal(await workUntilDone('a', 'j-42'), 'done');
+  });
+
+  it('returns no machine for a single job that fails everywhere', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-43', 6);
+    for (let i = 0; i < 30; i++) {
+      for (const w of c.workers.values()) for (const t of w.running()) w.finish(t, 'error');
+      await c.clock.pass(REPORT_MS);
+    }
+    assert.deepEqual(c.cloud.returned, []);
+    const starts = [...c.workers.values()].flatMap((w) => w.started).length;
+    assert.ok(starts < 6 * 10, `${String(starts)} starts in a minute: the pauses do not grow`);
+  });
+});
--- /dev/null
+++ b/test/units.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { type Machine, newMachine } from '../src/bookkeeping/machines.ts';
+import { sliceCapacity } from '../src/bookkeeping/records.ts';
+import { TaskSet } from '../src/bookkeeping/task-set.ts';
+import { Averages } from '../src/coordination/averages.ts';
+import { partMap } from '../src/coordination/parts.ts';
+import { pick } from '../src/coordination/placement.ts';
+import { readOperatorSettings } from '../src/operator-settings.ts';
+import { parseJson, stringifyJson } from '../src/protocol/json.ts';
+import type { PartMessage } from '../src/protocol/mesh.ts';
+import { decodeSubmission, type JobSpec } from '../src/protocol/users.ts';
+import { decodeReport } from '../src/protocol/workers.ts';
+import { readSettings } from '../src/settings.ts';
+import { Pace } from '../src/transport/pace.ts';
+import { seededRandom } from '../src/transport/random.ts';
+import { job } from './cluster.ts';
+import { FakeClock } from './fakes.ts';
+
+const type = {
+  name: 'small',
+  cores: 8,
+  accelerators: 0,
+  ramGb: 32,
+  price: 1,
+  spotPrice: 1,
+  bootS: 30,
+  zones: ['a'],
+};
+
+function machine(id: string, load = 0, drift = 0, spot = false): Machine {
+  const m = newMachine(id, { endpoint: 'x:1', type: 'small', zone: 'a', spot }, 0);
+  return Object.assign(m, { type, load, drift });
+}
+
+function spec(more: object = {}): JobSpec {
+  const decoded = decodeSubmission({ ...job('j-1', 1), ...more });
+  assert.ok(decoded);
+  return decoded;
+}
+
+describe('placement', () => {
+  const random = seededRandom(1);
+
+  it('takes the idle machine appended last that fits', () => {
+    const [first, last, big] = [machine('m1'), machine('m2'), machine('m3')];
+    big.type = { ...type, cores: 1 };
+    const chosen = pick(spec(), { open: [first, last, big], idle: [first, last, big] }, random);
+    assert.equal(chosen, last);
+  });
+
+  it('compares two random machines by load plus drift when none is idle', () => {
+    const busy = machine('m1', 0.5, 0.25);
+    const lower = machine('m2', 0.6, 0.0);
+    for (let i = 0; i < 20; i++) assert.equal(pick(spec(), { open: [busy, lower], idle: [] }, random), lower);
+    const many = Array.from({ length: 20 }, (_, i) => machine(`m${String(i)}`, i / 20));
+    const worst = many.at(-1);
+    for (let i = 0; i < 200; i++) assert.notEqual(pick(spec(), { open: many, idle: [] }, random), worst);
+  });
+
+  it('looks among spot machines first for a job that may use them, and never for another', () => {
+    const [ordinary, spot] = [machine('m1'), machine('m2', 0.9, 0, true)];
+    const from = { open: [ordinary, spot], idle: [ordinary] };
+    assert.equal(pick(spec({ prestiti: true }), from, random), spot);
+    assert.equal(pick(spec(), from, random), ordinary);
+  });
+});
+
+describe('sharing out', () => {
+  const told = (part: string, idle: number, average: number, token = 1): PartMessage => ({
+    kind: 'part',
+    part,
+    token,
+    idle,
+    average,
+    machines: 2,
+    running: {},
+    wants: {},
+    freeCores: 0,
+    freeSpotCores: 0,
+    waitingCores: 0,
+  });
+
+  it('prefers a part flagged idle until its idle machines are used up, then the lower average', () => {
+    const averages = new Averages();
+    averages.set(told('a', 0, 0.2));
+    averages.set(told('b', 2, 0.9));
+    const random = seededRandom(1);
+    const choices = [1, 2, 3].map(() => averages.choose(['a', 'b'], random));
+    assert.deepEqual(choices, ['b', 'b', 'a']);
+  });
+
+  it('raises a chosen part by one over its machines until its owner’s next message', () => {
+    const averages = new Averages();
+    averages.set(told('a', 0, 0.2));
+    averages.set(told('b', 0, 0.9));
+    const random = seededRandom(1);
+    const choices = [1, 2, 3, 4].map(() => averages.choose(['a', 'b'], random));
+    assert.deepEqual(choices, ['a', 'a', 'b', 'a']);
+    averages.set(told('a', 0, 0.2));
+    assert.equal(averages.choose(['a', 'b'], random), 'a');
+  });
+
+  it('ignores a former owner’s late message', () => {
+    const averages = new Averages();
+    averages.set(told('a', 0, 0.2, 5));
+    averages.set(told('a', 3, 0.0, 4));
+    assert.equal(averages.get('a')?.idle, 0);
+  });
+});
+
+describe('data', () => {
+  it('keeps integers above 2^53 exact through JSON', () => {
+    const text = '{"edizione":18446744073709551615,"n":4.5,"s":"1234567890123456789"}';
+    const parsed = parseJson(text) as { edizione: bigint };
+    assert.equal(parsed.edizione, 18446744073709551615n);
+    assert.equal(stringifyJson(parsed), text);
+    const report = decodeReport({
+      banco: 'm',
+      endpoint: 'x:1',
+      modello: 't',
+      sede: 'a',
+      turno: 1,
+      progressivo: 18446744073709551615n,
+      pratiche: [],
+    });
+    assert.equal(report?.seq, 18446744073709551615n);
+  });
+
+  it('keeps a task set through its record', () => {
+    const set = new TaskSet(20);
+    for (const p of [0, 7, 8, 19]) assert.ok(set.add(p));
+    assert.equal(set.add(7), false);
+    assert.equal(set.add(20), false);
+    const again = new TaskSet(20, set.encode());
+    assert.equal(again.size, 4);
+    assert.deepEqual([again.has(19), again.has(18)], [true, false]);
+  });
+
+  it('keeps a full slice’s record under the value limit', () => {
+    for (const kb of [8, 32]) {
+      const capacity = sliceCapacity(kb);
+      const set = new TaskSet(capacity);
+      for (let p = 0; p < capacity; p++) set.add(p);
+      assert.ok(set.full);
+      assert.ok(set.encode().length + 2000 < kb * 1024);
+    }
+  });
+
+  it('divides zones only where controllers outnumber them, and agrees on every machine', () => {
+    assert.deepEqual(partMap(['a', 'b', 'c'], 3).names, ['a', 'b', 'c']);
+    const divided = partMap(['a', 'b'], 4);
+    assert.deepEqual(divided.names, ['a.0', 'a.1', 'b.0', 'b.1']);
+    const part = divided.partOf({ id: 'n-000017', zone: 'b' });
+    assert.ok(part?.startsWith('b.'));
+    assert.equal(partMap(['a', 'b'], 4).partOf({ id: 'n-000017', zone: 'b' }), part);
+    assert.equal(divided.partOf({ id: 'n-1', zone: 'x' }), null);
+  });
+
+  it('paces calls: a burst, then the rate', () => {
+    const clock = new FakeClock();
+    const pace = new Pace(clock, 10, 2);
+    pace.take(1);
+    pace.take(1);
+    assert.equal(pace.wait(1), 100);
+    assert.equal(pace.wait(5), 200, 'a call dearer than the bucket passes when it is full');
+  });
+});
+
+describe('settings', () => {
+  it('names the field that is bad', () => {
+    assert.throws(() => readSettings({}), /^Error: node_name: /);
+  });
+
+  it('reads the operators’ XML and refuses a bad one', () => {
+    assert.deepEqual(readOperatorSettings('<onyxkeel><log><level>debug</level></log><new/></onyxkeel>'), {
+      logLevel: 'debug',
+    });
+    assert.throws(
+      () => readOperatorSettings('<onyxkeel><log><level>loud</level></log></onyxkeel>'),
+      /onyxkeel.log.level/,
+    );
+    assert.throws(() => readOperatorSettings('<onyxkeel>'), /line 1/);
+  });
+});
