--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -21,6 +21,8 @@
   phase: LaunchPhase;
   state: TaskState;
   halting: boolean;
+  /** Seconds a task being stopped has for saving. */
+  graceS: number;
   startedAt: number;
 }
 
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -61,15 +61,15 @@
 
 // --- workers ---
 /** Milliseconds a direct command may take before its outcome counts as unknown. */
-export const COMMAND_DEADLINE_MS = 2000;
+export const COMMAND_DEADLINE_MS = 1500;
 /** Milliseconds between tries to fence a machine that did not answer. */
 export const FENCE_RETRY_MS = 1000;
 /** Milliseconds a report may wait for a part that is just being taken over; workers give up after 4 s. */
 export const REPORT_HOLD_MS = 1500;
 /** Report intervals of silence after which a machine is asked directly. */
-export const SILENT_REPORTS = 2.2;
+export const SILENT_REPORTS = 1.8;
 /** Report intervals of silence after which an unanswering machine is returned. */
-export const LOST_REPORTS = 3.2;
+export const LOST_REPORTS = 2.4;
 /** Share of a part's machines that may fall silent together before the owner suspects itself. */
 export const SILENT_SHARE = 0.5;
 /** Machines that may fall silent together whatever the share; a small part loses one or two at times. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -12,7 +12,7 @@
   TASK_RETRY_MAX_MS,
   TASK_RETRY_MS,
 } from '../constants.ts';
-import { type Attempt, booked, type Machine, newMachine, room } from '../bookkeeping/machines.ts';
+import { type Attempt, booked, type Machine, type Need, newMachine, room } from '../bookkeeping/machines.ts';
 import {
   type Amounts,
   jobKey,
@@ -45,7 +45,7 @@
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
-import { pick } from './placement.ts';
+import { evict, pick } from './placement.ts';
 import { servingOrder } from './waiting.ts';
 
 export interface PartContext {
@@ -143,6 +143,7 @@
       for (const attempt of [...machine.attempts.values()]) {
         if (attempt.slice !== slice) continue;
         attempt.halting = true;
+        attempt.graceS = 0;
         if (attempt.phase === 'new') machine.attempts.delete(attempt.key);
         else commanded = true;
       }
@@ -221,7 +222,7 @@
       // The answer that held the launch was dropped: reports go one at a time, so this one was sent after.
       // A direct command's answer proves nothing of the kind, as it can cross the report's answer.
       else if (attempt.phase === 'sent' && checkin) {
-        if (attempt.halting) machine.attempts.delete(attempt.key);
+        if (attempt.halting) this.lose(machine, attempt);
         else attempt.phase = 'new';
       }
     }
@@ -295,6 +296,7 @@
       phase: 'seen',
       state,
       halting: !free,
+      graceS: 0,
       startedAt: this.context.clock.now(),
     };
     if (free) slice.place(position, key);
@@ -381,7 +383,7 @@
     const launching = machine.fenced && machine.recorded && this.context.mayAct();
     for (const attempt of machine.attempts.values()) {
       if (attempt.halting) {
-        orders.push({ op: 'halt', task: attempt.task, attempt: attempt.number, graceS: 0 });
+        orders.push({ op: 'halt', task: attempt.task, attempt: attempt.number, graceS: attempt.graceS });
       } else if (launching && typeof attempt.number === 'number') {
         if (attempt.phase === 'new' || (attempt.phase === 'direct' && way === 'report')) {
           orders.push({ op: 'launch', task: attempt.task, attempt: attempt.number });
@@ -494,14 +496,19 @@
     const usable = new Set(open);
     const used = new Map<string, Amounts>();
     const touched = new Set<Machine>();
+    const claimed = new Map<Machine, Need>();
     for (const slice of this.queue()) {
       const { spec } = slice;
+      let unplaced = 0;
       while (slice.waiting.length > 0) {
         if (!this.withinLimit(slice, used)) break;
         const idle = this.idle.filter((m) => usable.has(m));
         const machine = pick(spec, { open, idle }, this.context.random);
         const position = machine ? slice.waiting.pop() : undefined;
-        if (!machine || position === undefined) break;
+        if (!machine || position === undefined) {
+          unplaced = slice.waiting.length;
+          break;
+        }
         this.start(machine, slice, position, now);
         touched.add(machine);
         const sum = used.get(spec.team);
@@ -510,10 +517,33 @@
           sum.accelerators += spec.accelerators;
         }
       }
+      if (unplaced === 0) continue;
+      const most = Math.min(unplaced, this.limitLeft(slice, used));
+      for (const machine of this.preempt(slice, most, open, claimed)) touched.add(machine);
     }
     for (const machine of touched) this.command(machine);
   }
 
+  /** Stops work of lower priority where that makes room; the room is taken when its end is reported. */
+  private preempt(slice: Slice, tasks: number, open: Machine[], claimed: Map<Machine, Need>): Machine[] {
+    const on: Machine[] = [];
+    for (let i = 0; i < tasks; i++) {
+      const found = evict(slice.spec, open, claimed);
+      if (!found) break;
+      if (found.victims.length === 0) continue; // room that is being made already
+      for (const victim of found.victims) {
+        victim.halting = true;
+        victim.graceS = victim.slice?.spec.saveS ?? 0;
+        this.context.log.debug(
+          { machine: found.machine.id, task: victim.task, by: slice.spec.id },
+          'preempted',
+        );
+      }
+      on.push(found.machine);
+    }
+    return on;
+  }
+
   private start(machine: Machine, slice: Slice, position: number, now: number): void {
     if (this.counter >= ATTEMPTS_PER_TOKEN - 1) return this.context.onOutdated(this.name);
     const number = this.token * ATTEMPTS_PER_TOKEN + ++this.counter;
@@ -528,6 +558,7 @@
       phase: 'new',
       state: 'fetching',
       halting: false,
+      graceS: 0,
       startedAt: now,
     });
     slice.place(position, key);
@@ -581,6 +612,22 @@
     return { cores: share.cores - giving.cores, accelerators: share.accelerators - giving.accelerators };
   }
 
+  /** How many more of the slice's tasks the team's share here allows. */
+  private limitLeft(slice: Slice, used: Map<string, Amounts>): number {
+    const { team, cores, accelerators } = slice.spec;
+    const sum = used.get(team);
+    if (!sum) return Infinity; // a team without a limit
+    const share = this.shareOf(team);
+    const times = (left: number, each: number): number => (each <= 0 ? Infinity : Math.floor(left / each));
+    return Math.max(
+      0,
+      Math.min(
+        times(share.cores - sum.cores, cores),
+        times(share.accelerators - sum.accelerators, accelerators),
+      ),
+    );
+  }
+
   private withinLimit(slice: Slice, used: Map<string, Amounts>): boolean {
     const { team, cores, accelerators } = slice.spec;
     if (!this.context.limits.limited(team)) return true;
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -1,4 +1,4 @@
-import { type Machine, type Need, fits, room } from '../bookkeeping/machines.ts';
+import { type Attempt, type Machine, type Need, fits, room } from '../bookkeeping/machines.ts';
 import type { JobSpec } from '../protocol/users.ts';
 import type { Random } from '../transport/random.ts';
 
@@ -59,3 +59,57 @@
   const left = room(machine);
   return left !== null && fits(need, left);
 }
+
+export interface Eviction {
+  machine: Machine;
+  victims: Attempt[];
+}
+
+/**
+ * Finds a machine on which stopping work of lower priority makes room for one task of the job, and what to
+ * stop there: the fewest tasks, those started last, so that the least work is lost. `claimed` is room that
+ * tasks being stopped will leave, and that earlier calls have counted on.
+ */
+export function evict(spec: JobSpec, machines: Machine[], claimed: Map<Machine, Need>): Eviction | null {
+  let best: (Eviction & { lastStart: number }) | null = null;
+  for (const machine of machines) {
+    if (!allows(spec, machine)) continue;
+    const left = room(machine);
+    if (!left) continue;
+    const taken = claimed.get(machine);
+    if (taken) add(left, taken, -1);
+    const lower: Attempt[] = [];
+    for (const attempt of machine.attempts.values()) {
+      if (attempt.halting) {
+        if (attempt.slice) add(left, attempt.slice.spec, 1);
+      } else if (attempt.phase === 'seen' && attempt.slice && attempt.slice.spec.priority > spec.priority)
+        lower.push(attempt);
+    }
+    lower.sort((a, b) => b.startedAt - a.startedAt);
+    const victims: Attempt[] = [];
+    while (!fits(spec, left) && victims.length < lower.length) {
+      const victim = lower[victims.length];
+      if (!victim?.slice) break;
+      victims.push(victim);
+      add(left, victim.slice.spec, 1);
+    }
+    if (!fits(spec, left)) continue;
+    const lastStart = victims.length === 0 ? Infinity : Math.min(...victims.map((v) => v.startedAt));
+    const better =
+      !best ||
+      victims.length < best.victims.length ||
+      (victims.length === best.victims.length && lastStart > best.lastStart);
+    if (better) best = { machine, victims, lastStart };
+  }
+  if (!best) return null;
+  const sum = claimed.get(best.machine) ?? { cores: 0, accelerators: 0, ramGb: 0 };
+  add(sum, spec, 1);
+  claimed.set(best.machine, sum);
+  return best;
+}
+
+function add(to: Need, what: Need, times: number): void {
+  to.cores += what.cores * times;
+  to.accelerators += what.accelerators * times;
+  to.ramGb += what.ramGb * times;
+}
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -165,6 +165,30 @@
   });
 });
 
+describe('priority', () => {
+  beforeEach(async () => void (c = await cluster()));
+  afterEach(() => c.stop());
+
+  it('stops work of lower priority, started last, for work of higher, and runs it again later', async () => {
+    const submit = (id: string, tasks: number, urgenza: string) =>
+      c.submit('a', id, tasks, { sede: 'a', urgenza });
+    await submit('j-50', 4, 'low');
+    await c.clock.pass(2 * REPORT_MS);
+    const early = c.onMachines();
+    await submit('j-51', 4, 'low');
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 8);
+    await submit('j-52', 2, 'urgent');
+    await submit('j-53', 2, 'low');
+    await c.clock.pass(4 * REPORT_MS);
+    const now = c.onMachines();
+    assert.equal(now.filter((t) => t.startsWith('j-52/')).length, 2);
+    assert.equal(now.length, 8);
+    for (const task of early) assert.ok(now.includes(task), `${task} was started first`);
+    for (const id of ['j-50', 'j-51', 'j-52', 'j-53']) assert.equal(await workUntilDone('a', id), 'done');
+  });
+});
+
 describe('failures', () => {
   afterEach(() => c.stop());
 
