--- a/src/bookkeeping/slices.ts
+++ b/src/bookkeeping/slices.ts
@@ -46,6 +46,11 @@
     }
   }
 
+  /** The share of the slice's tasks that still waits. */
+  get left(): number {
+    return this.waiting.length / this.count;
+  }
+
   /** The position of the job's task `index`, or null if this slice does not have it to run. */
   position(index: number): number | null {
     const p = index - this.from;
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -152,8 +152,10 @@
 export const UNLISTED_MS = 20_000;
 
 // --- waiting order ---
-/** Ratio of a job's reckoned run time to its owner's estimate, which is often wrong by half. */
-export const ESTIMATE_FACTOR = 1.2;
+/** Ratio of the reckoned run time below which no run is expected: an aim missed even so is given up. */
+export const HOPEFUL_RUN = 0.6;
+/** Milliseconds of slack below which a waiting job may stop work of lower priority. */
+export const PREEMPT_SLACK_MS = 8000;
 /** Milliseconds reckoned for fetching an image and for the messages around a task. */
 export const OVERHEAD_MS = 6000;
 /** Milliseconds. A job that no aim and no deadline speaks of is served as if it had so long. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -6,6 +6,7 @@
   FAULTS_TO_DRAIN,
   FENCE_RETRY_MS,
   LEASE_MARGIN_MS,
+  PREEMPT_SLACK_MS,
   PROGRESS_MS,
   RETRY_MS,
   SILENT_REPORTS,
@@ -46,7 +47,7 @@
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
 import { evict, pick } from './placement.ts';
-import { servingOrder } from './waiting.ts';
+import { latestStart, servingOrder } from './waiting.ts';
 
 export interface PartContext {
   settings: Settings;
@@ -517,7 +518,10 @@
           sum.accelerators += spec.accelerators;
         }
       }
-      if (unplaced === 0) continue;
+      // Most waits end by themselves in time: work is stopped only for a job that would else miss its aim.
+      const wall = this.context.wallClock();
+      const start = latestStart(slice, wall, this.context.settings);
+      if (unplaced === 0 || start === Infinity || start - wall > PREEMPT_SLACK_MS) continue;
       const most = Math.min(unplaced, this.limitLeft(slice, used));
       for (const machine of this.preempt(slice, most, open, claimed)) touched.add(machine);
     }
--- a/src/coordination/waiting.ts
+++ b/src/coordination/waiting.ts
@@ -1,4 +1,4 @@
-import { ESTIMATE_FACTOR, NO_AIM_MS, OVERHEAD_MS, STARVING_MS } from '../constants.ts';
+import { HOPEFUL_RUN, NO_AIM_MS, OVERHEAD_MS, STARVING_MS } from '../constants.ts';
 import type { JobSpec } from '../protocol/users.ts';
 import type { Settings } from '../settings.ts';
 
@@ -6,26 +6,29 @@
   spec: JobSpec;
   /** Time of day of the submission, milliseconds. */
   at: number;
+  /** The share of the job's tasks that still waits. */
+  left: number;
 }
 
 /**
  * When the job's waiting tasks must start at the latest for the first of its aims that can still be met;
- * infinite where none can. A team's limit may make the tasks run in several rounds.
+ * infinite where none can. A team's limit may make the tasks run in several rounds. Estimates are often too
+ * high, so an aim is only given up when even a much shorter run would miss it.
  */
 export function latestStart(job: Waiting, now: number, settings: Settings): number {
-  const { spec, at } = job;
+  const { spec, at, left } = job;
   if (now - at > STARVING_MS) return -Infinity;
-  const team = settings.teams.get(spec.team);
-  const rounds = Math.max(1, Math.ceil((spec.tasks * spec.cores) / (team?.maxCores ?? Infinity)));
-  const runs = spec.estimateS * 1000 * ESTIMATE_FACTOR * rounds + OVERHEAD_MS;
+  const most = settings.teams.get(spec.team)?.maxCores ?? Infinity;
+  const rounds = Math.max(1, (spec.tasks * left * spec.cores) / most);
+  const run = spec.estimateS * 1000 * rounds + OVERHEAD_MS;
   const deadline = spec.deadlineS === null ? null : spec.deadlineS * 1000;
   const aims = (settings.aims.get(spec.class) ?? []).flatMap((aim) => {
     if (aim.kind === 'finished') return [aim.withinMs];
     return deadline === null ? [] : [deadline * aim.times];
   });
   if (aims.length === 0) aims.push(deadline ?? NO_AIM_MS);
-  const met = aims.map((within) => at + within - runs).filter((start) => start >= now);
-  return met.length > 0 ? Math.min(...met) : Infinity;
+  const ends = aims.map((within) => at + within).filter((end) => end - run * HOPEFUL_RUN >= now);
+  return ends.length > 0 ? Math.min(...ends) - run : Infinity;
 }
 
 /**
