--- a/src/constants.ts
+++ b/src/constants.ts
@@ -152,6 +152,8 @@
 export const UNLISTED_MS = 20_000;
 
 // --- waiting order ---
+/** Milliseconds for which the order of the waits is kept before it is reckoned again. */
+export const ORDER_MS = 300;
 /** Ratio of the reckoned run time below which no run is expected: an aim missed even so is given up. */
 export const HOPEFUL_RUN = 0.6;
 /** Milliseconds of slack below which a waiting job may stop work of lower priority. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -6,6 +6,7 @@
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
   LIST_MS,
+  ORDER_MS,
   MESH_BEAT_MS,
   AVERAGE_STEP,
   OWNERSHIP_TICK_MS,
@@ -44,6 +45,7 @@
 import { Part } from './part.ts';
 import { partMap, type PartMap } from './parts.ts';
 import { Renting } from './renting.ts';
+import { type Planned, servingOrder } from './waiting.ts';
 
 export interface ControllerDeps {
   settings: Settings;
@@ -88,7 +90,7 @@
   private readonly proofMs: number;
   private asks = 0;
   private types: MachineType[] | null = null;
-  private guaranteed: { at: number; jobs: Set<string> } = { at: -Infinity, jobs: new Set() };
+  private order: { at: number; jobs: Map<string, number> } = { at: -Infinity, jobs: new Map() };
   private loaded = false;
 
   constructor(private readonly deps: ControllerDeps) {
@@ -229,7 +231,7 @@
         replica: this.replica,
         limits: this.limits,
         typeOf: (type) => this.types?.find((t) => t.name === type) ?? null,
-        withinGuarantee: (job) => this.guaranteedJobs().has(job),
+        servingOrder: () => this.servingOrder(),
         mayAct: () => this.mayAct(),
         proofMs: this.proofMs,
         onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
@@ -283,35 +285,34 @@
     return { left, running };
   }
 
-  /** Jobs that fit, with the earlier unfinished jobs of their team, into its guarantee. */
-  private guaranteedJobs(): Set<string> {
+  /** Jobs by the place in which their waits are served, reckoned from what every owner follows. */
+  private servingOrder(): Map<string, number> {
     const now = this.deps.clock.now();
-    if (now - this.guaranteed.at < RETRY_MS) return this.guaranteed.jobs;
-    const jobs = new Map<string, { team: string; at: number; cores: number; accelerators: number }>();
+    if (now - this.order.at < ORDER_MS) return this.order.jobs;
+    const jobs = new Map<string, Planned>();
     for (const { record, left } of this.slices.values()) {
-      const { spec } = record;
-      const job = jobs.get(spec.id) ?? { team: spec.team, at: record.at, cores: 0, accelerators: 0 };
-      job.cores += left * spec.cores;
-      job.accelerators += left * spec.accelerators;
+      const { spec, at } = record;
+      const job = jobs.get(spec.id) ?? { spec, at, left: 0, tasks: 0, guaranteed: false };
+      job.tasks += left;
+      job.left = job.tasks / spec.tasks;
       jobs.set(spec.id, job);
     }
+    // A job is guaranteed if it fits into its team's guarantee with the team's earlier unfinished jobs.
     const sums = new Map<string, { cores: number; accelerators: number }>();
-    const within = new Set<string>();
-    for (const [id, job] of [...jobs].sort((a, b) => a[1].at - b[1].at)) {
-      const sum = sums.get(job.team) ?? { cores: 0, accelerators: 0 };
-      sums.set(job.team, sum);
-      sum.cores += job.cores;
-      sum.accelerators += job.accelerators;
-      const guarantee = this.limits.guarantee(job.team);
-      if (
-        sum.cores <= guarantee.cores &&
-        (job.accelerators === 0 || sum.accelerators <= guarantee.accelerators)
-      ) {
-        within.add(id);
-      }
+    for (const job of [...jobs.values()].sort((a, b) => a.at - b.at)) {
+      const { team, cores, accelerators } = job.spec;
+      const sum = sums.get(team) ?? { cores: 0, accelerators: 0 };
+      sums.set(team, sum);
+      sum.cores += job.tasks * cores;
+      sum.accelerators += job.tasks * accelerators;
+      const guarantee = this.limits.guarantee(team);
+      job.guaranteed =
+        sum.cores <= guarantee.cores && (accelerators === 0 || sum.accelerators <= guarantee.accelerators);
     }
-    this.guaranteed = { at: now, jobs: within };
-    return within;
+    const cores = this.averages.all().reduce((sum, part) => sum + part.cores, 0);
+    const order = servingOrder([...jobs.values()], cores, this.deps.wallClock(), this.deps.settings);
+    this.order = { at: now, jobs: order };
+    return order;
   }
 
   // --- workers ---
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -47,7 +47,7 @@
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
 import { evict, pick } from './placement.ts';
-import { latestStart, servingOrder } from './waiting.ts';
+import { latestStart } from './waiting.ts';
 
 export interface PartContext {
   settings: Settings;
@@ -61,8 +61,8 @@
   replica: Replica;
   limits: Limits;
   typeOf: (name: string) => MachineType | null;
-  /** Whether the job is one of the first of its team that fit into its guarantee together. */
-  withinGuarantee: (job: string) => boolean;
+  /** Jobs by the place in which their waits are served. */
+  servingOrder: () => Map<string, number>;
   /** Whether contact with the state service is fresh enough to act as an owner. */
   mayAct: () => boolean;
   /** How long after its last proof of contact an owner may still answer reports. */
@@ -484,9 +484,11 @@
 
   /** Slices with waiting tasks, in the order in which they are served. */
   private queue(): Slice[] {
-    const waiting = [...this.slices.values()].filter((slice) => slice.waiting.length > 0);
-    const { wallClock, settings, withinGuarantee } = this.context;
-    return servingOrder(waiting, wallClock(), settings, withinGuarantee);
+    const order = this.context.servingOrder();
+    const place = (slice: Slice): number => order.get(slice.spec.id) ?? order.size;
+    return [...this.slices.values()]
+      .filter((slice) => slice.waiting.length > 0)
+      .sort((a, b) => place(a) - place(b) || a.at - b.at);
   }
 
   place(): void {
@@ -834,6 +836,7 @@
   summary(): {
     average: number;
     machines: number;
+    cores: number;
     running: Record<string, number>;
     freeCores: number;
     freeSpotCores: number;
@@ -864,6 +867,6 @@
     const perMachine = open.length > 0 ? cores / open.length : 0;
     const waiting = perMachine > 0 ? result.waitingCores / perMachine : 0;
     const average = open.length > 0 ? (load + waiting) / open.length : 1e6;
-    return { average, machines: open.length, running, ...result };
+    return { average, machines: open.length, cores, running, ...result };
   }
 }
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -11,6 +11,8 @@
     /** Booked and waiting share over the part's machines. */
     average: z.number(),
     machines: z.number(),
+    /** CPUs of the machines that may take tasks. */
+    cores: z.number(),
     /** Tasks on machines, by job, for display. */
     running: z.record(z.string(), z.number()),
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
