--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -10,6 +10,8 @@
 
 export interface NodeRecord {
   incarnation: string;
+  /** Parts whose machines this node cannot reach. */
+  unreachable: string[];
 }
 export interface PartRecord {
   owner: string;
@@ -75,7 +77,7 @@
   saveS: z.number(),
   deadlineS: z.nullable(z.number()),
 });
-const node = z.object({ incarnation: z.string() });
+const node = z.object({ incarnation: z.string(), unreachable: z.array(z.string()) });
 const part = z.object({ owner: z.string(), incarnation: z.string(), token: z.number() });
 const machine = z.object({ endpoint: z.string(), type: z.string(), zone: z.string(), spot: z.boolean() });
 const slice = z.object({ spec, from: z.number(), count: z.number(), settled: z.string(), at: z.number() });
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -56,6 +56,10 @@
 export const TAKEOVER_STEP_MS = 1500;
 /** Milliseconds a zone's own node must have been up before a part is handed back to it. */
 export const HANDBACK_AFTER_MS = 3000;
+/** Milliseconds between tries to reach a part that could not be reached. */
+export const REACH_MS = 2000;
+/** Machines asked in such a try. */
+export const REACH_TRIES = 3;
 /** Milliseconds of safety added to every reckoning of when a worker's lease is over. */
 export const LEASE_MARGIN_MS = 1500;
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -3,6 +3,7 @@
   CATALOG_MS,
   CLOUD_DEADLINE_MS,
   CLOCK_DRIFT,
+  COMMAND_DEADLINE_MS,
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
   LIST_MS,
@@ -11,6 +12,8 @@
   AVERAGE_STEP,
   OWNERSHIP_TICK_MS,
   QUOTA_SHIFT_MS,
+  REACH_MS,
+  REACH_TRIES,
   RENT_TICK_MS,
   REPORT_HOLD_MS,
   RETRY_MS,
@@ -31,7 +34,7 @@
 import { decodeMesh, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
 import { stateApi } from '../protocol/state.ts';
 import type { JobSpec, UserAnswer } from '../protocol/users.ts';
-import type { Report } from '../protocol/workers.ts';
+import { type Report, workerPaths } from '../protocol/workers.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
 import type { HttpClient } from '../transport/http-client.ts';
@@ -155,6 +158,7 @@
       routine('parts', OWNERSHIP_TICK_MS, duty, () => this.tickParts()),
       routine('renting', RENT_TICK_MS, duty, () => this.owned.forEach((o) => o.renting.tick())),
       routine('machine list', LIST_MS, duty, () => this.readMachines()),
+      routine('reach', REACH_MS, duty, () => this.tryReach()),
       this.keepCatalog(),
       routine('limits', QUOTA_SHIFT_MS, duty, () => this.shiftLimits()),
     ]);
@@ -248,6 +252,8 @@
       log,
       cloud: this.cloud,
       catalog: () => this.types,
+      onUnreachable: () => this.membership.setReach(name, false),
+      reachedByNone: () => this.membership.reachedByNone(name),
     });
     this.owned.set(name, { part, renting, abort, told: { idle: false, average: -1, at: -Infinity } });
     log.info(
@@ -435,6 +441,29 @@
     }
   }
 
+  /** A part that this node could not reach is tried again, so that it can be given to it. */
+  private async tryReach(): Promise<void> {
+    for (const part of this.membership.unreached) {
+      const machines = [...(this.machines.get(part)?.values() ?? [])];
+      const tried: Promise<boolean>[] = [];
+      while (tried.length < REACH_TRIES && machines.length > 0) {
+        const [machine] = machines.splice(this.deps.random.below(machines.length), 1);
+        if (machine) tried.push(this.answers(machine.endpoint));
+      }
+      const answered = await Promise.all(tried);
+      if (tried.length === 0 || answered.includes(true)) this.membership.setReach(part, true);
+    }
+  }
+
+  private async answers(endpoint: string): Promise<boolean> {
+    const { http, signal } = this.deps;
+    const call = { address: endpoint, method: 'GET' as const, path: workerPaths.inspect, signal };
+    return http({ ...call, deadlineMs: COMMAND_DEADLINE_MS }).then(
+      (answer) => answer.status === 200,
+      () => false,
+    );
+  }
+
   private async readMachines(): Promise<void> {
     if (this.owned.size === 0) return;
     const readAt = this.deps.clock.now();
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -33,15 +33,16 @@
   private readonly owners = new Map<string, PartRecord>();
   private readonly ownerlessSince = new Map<string, number>();
   private lease: Int | null = null;
+  private readonly unreachable = new Set<string>();
   private loaded = false;
 
   constructor(private readonly context: MembershipContext) {}
 
   onNode(name: string, record: NodeRecord | null): void {
-    if (!record) this.nodes.delete(name);
-    else if (this.nodes.get(name)?.incarnation !== record.incarnation) {
-      this.nodes.set(name, { ...record, since: this.context.clock.now() });
-    }
+    if (!record) return void this.nodes.delete(name);
+    const known = this.nodes.get(name);
+    const since = known?.incarnation === record.incarnation ? known.since : this.context.clock.now();
+    this.nodes.set(name, { ...record, since });
   }
 
   onPart(part: string, record: PartRecord | null): void {
@@ -67,6 +68,25 @@
     return [...this.nodes.keys()];
   }
 
+  /** Notes whether this node reaches the part's machines; an owner that does not hands the part on. */
+  setReach(part: string, reached: boolean): void {
+    if (this.unreachable.has(part) === !reached) return;
+    if (reached) this.unreachable.delete(part);
+    else this.unreachable.add(part);
+    this.context.log.info({ part, reached }, 'reach of a part changed');
+    void this.putNode();
+  }
+
+  /** Parts that this node found it cannot reach. */
+  get unreached(): string[] {
+    return [...this.unreachable];
+  }
+
+  /** Whether no node that is up reaches the part: then its silent machines are gone, and not its owner. */
+  reachedByNone(part: string): boolean {
+    return [...this.nodes.values()].every((node) => node.unreachable.includes(part));
+  }
+
   run(signal: AbortSignal): Promise<unknown> {
     const deps = { clock: this.context.clock, log: this.context.log, signal };
     return Promise.all([
@@ -76,27 +96,35 @@
   }
 
   private async holdLease(): Promise<void> {
-    const { store, self, log } = this.context;
+    const { store, log } = this.context;
     try {
       if (this.lease !== null && !(await store.extend(this.lease))) {
         log.info({}, 'node lease ran out');
         this.lease = null;
       }
       if (this.lease !== null) return;
-      const lease = await store.grant(NODE_LEASE_MS);
-      const put = {
-        op: 'put' as const,
-        key: nodeKey(self.name),
-        value: { incarnation: self.incarnation },
-        lease,
-      };
-      const result = await store.txn([], [put], 'ownership');
-      if (result.kind === 'committed') this.lease = lease;
+      this.lease = await store.grant(NODE_LEASE_MS);
+      await this.putNode();
     } catch (error) {
       log.debug({ err: String(error) }, 'node lease not extended');
     }
   }
 
+  private async putNode(): Promise<void> {
+    const { store, self, log } = this.context;
+    const lease = this.lease;
+    if (lease === null) return;
+    const value: NodeRecord = { incarnation: self.incarnation, unreachable: this.unreached };
+    try {
+      const result = await store.txn([], [{ op: 'put', key: nodeKey(self.name), value, lease }], 'ownership');
+      if (result.kind !== 'committed') this.lease = null;
+    } catch (error) {
+      // Unknown whether it was written: a new lease writes it again.
+      this.lease = null;
+      log.debug({ err: String(error) }, 'node record not written');
+    }
+  }
+
   private alive(record: PartRecord): boolean {
     return this.nodes.get(record.owner)?.incarnation === record.incarnation;
   }
@@ -123,7 +151,9 @@
     const { self, siblings } = this.context;
     const all = [self, ...siblings];
     // At the very first start the others are about to come up: they are waited for by rank.
-    const among = first ? all : all.filter((node) => this.nodes.has(node.name));
+    const up = first ? all : all.filter((node) => this.nodes.has(node.name));
+    const reaching = up.filter((node) => this.reaches(node.name, part));
+    const among = reaching.length > 0 ? reaching : up;
     const owned = (name: string): number =>
       [...this.owners.values()].filter((record) => record.owner === name && this.alive(record)).length;
     const score = (node: { name: string; zone: string }): [number, number, number] => [
@@ -163,17 +193,32 @@
     );
   }
 
-  /** A zone's own node reaches its machines through fewer failures, and owners share the work evenly. */
+  private reaches(node: string, part: string): boolean {
+    return !(this.nodes.get(node)?.unreachable.includes(part) ?? false);
+  }
+
+  /**
+   * A zone's own node reaches its machines through fewer failures, and owners share the work evenly. An
+   * owner that cannot reach the machines gives the part to one that may.
+   */
   private async handBack(part: string, record: PartRecord, now: number): Promise<void> {
     const { replica, self } = this.context;
-    const home = this.home(part);
+    const cut = this.unreachable.has(part);
+    const home = cut ? (this.candidates(part, false)[0] ?? self.name) : this.home(part);
     const node = this.nodes.get(home);
-    if (home === self.name || !node || now - node.since < HANDBACK_AFTER_MS) return;
+    if (home === self.name || !node || !this.reaches(home, part)) return;
+    if (!cut && now - node.since < HANDBACK_AFTER_MS) return;
     const conditions = [
       { key: partKey(part), version: replica.version(partKey(part)) },
       { key: nodeKey(home), version: replica.version(nodeKey(home)) },
     ];
-    await this.write(part, record, { owner: home, incarnation: node.incarnation }, conditions, 'handed back');
+    await this.write(
+      part,
+      record,
+      { owner: home, incarnation: node.incarnation },
+      conditions,
+      cut ? 'handed on' : 'handed back',
+    );
   }
 
   private async write(
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -53,6 +53,9 @@
       log: Log;
       cloud: CloudCalls;
       catalog: () => MachineType[] | null;
+      /** This node cannot reach the part's machines. */
+      onUnreachable: () => void;
+      reachedByNone: () => boolean;
     },
   ) {}
 
@@ -219,19 +222,20 @@
   /**
    * A machine silent for a few reports that does not answer either is returned: that frees its tasks at
    * once. Where many are silent together the fault is likelier here, and returning them would throw the
-   * part away.
+   * part away: it is handed on instead, and only if no node reaches them are they taken for gone.
    */
   private watchSilent(now: number): void {
     const { reportMs } = this.deps.settings;
     const silent = [...this.part.machines.values()].filter(
       (m) => now - m.heardAt > reportMs * SILENT_REPORTS,
     );
-    const most = Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
-    for (const m of silent) {
-      const lost = now - m.heardAt > reportMs * LOST_REPORTS && now - m.deafSince >= 0;
-      if (lost && silent.length <= most) this.giveBack(m, m.noticed ? 'taken' : 'silent');
-      if (!m.probing && !m.returning) void this.probe(m);
+    const lost = silent.filter((m) => now - m.heardAt > reportMs * LOST_REPORTS && now >= m.deafSince);
+    const many = silent.length > Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
+    if (many && lost.length * 2 > silent.length) this.deps.onUnreachable();
+    if (!many || this.deps.reachedByNone()) {
+      for (const m of lost) this.giveBack(m, m.noticed ? 'taken' : 'silent');
     }
+    for (const m of silent) if (!m.probing && !m.returning) void this.probe(m);
   }
 
   private async probe(machine: Machine): Promise<void> {
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -37,6 +37,7 @@
   /** Workers whose reports do not arrive anywhere. */
   readonly mute = new Set<string>();
   private starts = 0;
+  private workersCut: string | null = null;
   private readonly cutMesh = new Set<string>();
 
   constructor(
@@ -101,6 +102,11 @@
     this.cutMesh.add(Cluster.nodeOf(zone));
   }
 
+  /** The node that no report reaches, if any. */
+  cutWorkers(zone: string | null): void {
+    this.workersCut = zone === null ? null : Cluster.nodeOf(zone);
+  }
+
   private meshOpen(a: string, b: string): boolean {
     const up = (n: string): boolean => this.nodes.get(n)?.up ?? false;
     return up(a) && up(b) && !this.cutMesh.has(a) && !this.cutMesh.has(b);
@@ -141,7 +147,7 @@
       await this.clock.sleep(REPORT_MS);
       if (this.mute.has(worker.id) || !this.workers.has(worker.id)) continue;
       const node = this.nodes.get(at);
-      if (!node?.up) {
+      if (!node?.up || this.workersCut === at) {
         at = next();
         continue;
       }
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -247,6 +247,28 @@
     for (const task of its) assert.equal(startsOf(task), 1);
   });
 
+  it('hands a part on when its owner alone cannot reach the machines, and takes it back later', async () => {
+    c = await cluster();
+    c.addWorker('b3', 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-60', 12, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const before = c.onMachines();
+    assert.equal(before.length, 12);
+    c.cutWorkers('b');
+    for (const id of ['b1', 'b2', 'b3']) c.fault('b', `worker-${id}:1`, 'silent');
+    await c.clock.pass(LEASE_MS);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    assert.deepEqual(c.onMachines(), before, 'no lease ran out and nothing was returned');
+    assert.deepEqual(c.cloud.returned, []);
+    c.cutWorkers(null);
+    for (const id of ['b1', 'b2', 'b3']) c.fault('b', `worker-${id}:1`, 'none');
+    await c.clock.pass(LEASE_MS);
+    assert.deepEqual(c.owned('b'), ['b']);
+    assert.equal(await workUntilDone('a', 'j-60'), 'done');
+    for (let i = 0; i < 12; i++) assert.equal(startsOf(`j-60/${String(i)}`), 1);
+  });
+
   it('lets a stale owner’s late transaction fail', async () => {
     c = await cluster();
     await c.submit('a', 'j-33', 2, { sede: 'b' });
