--- a/src/constants.ts
+++ b/src/constants.ts
@@ -74,8 +74,8 @@
 export const SILENT_REPORTS = 1.8;
 /** Report intervals of silence after which an unanswering machine is returned. */
 export const LOST_REPORTS = 2.4;
-/** Share of a part's machines that may fall silent together before the owner suspects itself. */
-export const SILENT_SHARE = 0.5;
+/** Share of a part's machines above which silence is laid to the owner: while others are heard, it is theirs. */
+export const SILENT_SHARE = 0.8;
 /** Machines that may fall silent together whatever the share; a small part loses one or two at times. */
 export const SILENT_FEW = 2;
 /** Milliseconds a machine gets no new tasks after the first task that failed on it; doubles each time. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -822,7 +822,11 @@
         slice.recordAt = 0;
       return;
     }
-    if (open.length === 0) this.context.log.debug({ job: slice.spec.id }, 'job done');
+    if (open.length === 0) {
+      const { id, class: of, tasks, estimateS } = slice.spec;
+      const tookS = Math.round((this.context.wallClock() - slice.at) / 1000);
+      this.context.log.debug({ job: id, class: of, tasks, estimateS, tookS }, 'job done');
+    }
     this.dropSlice(slice);
   }
 
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -2,6 +2,7 @@
   BOOT_LATE,
   BOOT_LOST,
   IDLE_RETURN_MS,
+  LEASE_MARGIN_MS,
   LOST_REPORTS,
   MUTE_MS,
   NEED_HEADROOM,
@@ -221,19 +222,21 @@
 
   /**
    * A machine silent for a few reports that does not answer either is returned: that frees its tasks at
-   * once. Where many are silent together the fault is likelier here, and returning them would throw the
-   * part away: it is handed on instead, and only if no node reaches them are they taken for gone.
+   * once. Where almost all are silent the fault is likelier here, and returning them would throw the part
+   * away: it is handed on instead. If no node reaches them, the network may still come back: they are
+   * returned only when their leases are over, and nothing is lost by it.
    */
   private watchSilent(now: number): void {
-    const { reportMs } = this.deps.settings;
+    const { reportMs, leaseMs } = this.deps.settings;
     const silent = [...this.part.machines.values()].filter(
       (m) => now - m.heardAt > reportMs * SILENT_REPORTS,
     );
     const lost = silent.filter((m) => now - m.heardAt > reportMs * LOST_REPORTS && now >= m.deafSince);
-    const many = silent.length > Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
-    if (many && lost.length * 2 > silent.length) this.deps.onUnreachable();
-    if (!many || this.deps.reachedByNone()) {
-      for (const m of lost) this.giveBack(m, m.noticed ? 'taken' : 'silent');
+    const cut = silent.length > Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
+    if (cut && lost.length * 2 > silent.length) this.deps.onUnreachable();
+    const gone = cut ? lost.filter((m) => now - m.heardAt > leaseMs + LEASE_MARGIN_MS) : lost;
+    if (!cut || this.deps.reachedByNone()) {
+      for (const m of gone) this.giveBack(m, m.noticed ? 'taken' : 'silent');
     }
     for (const m of silent) if (!m.probing && !m.returning) void this.probe(m);
   }
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -269,6 +269,35 @@
     for (let i = 0; i < 12; i++) assert.equal(startsOf(`j-60/${String(i)}`), 1);
   });
 
+  it('returns no machine while none is reached by anybody and their leases may still run', async () => {
+    c = await cluster();
+    c.addWorker('b3', 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    for (const id of ['b1', 'b2', 'b3']) {
+      c.mute.add(id);
+      for (const zone of zones) c.fault(zone, `worker-${id}:1`, 'silent');
+    }
+    await c.clock.pass(LEASE_MS - REPORT_MS);
+    assert.deepEqual(c.cloud.returned, []);
+    for (const id of ['b1', 'b2', 'b3']) c.mute.delete(id);
+    for (const zone of zones) for (const id of ['b1', 'b2', 'b3']) c.fault(zone, `worker-${id}:1`, 'none');
+    await c.clock.pass(LEASE_MS);
+    assert.deepEqual(c.cloud.returned, []);
+  });
+
+  it('returns the silent machines of a part at once while others of it are heard', async () => {
+    c = await cluster();
+    for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    for (const id of ['b1', 'b2', 'b3']) {
+      c.mute.add(id);
+      for (const zone of zones) c.fault(zone, `worker-${id}:1`, 'silent');
+    }
+    await c.clock.pass(5 * REPORT_MS);
+    assert.deepEqual([...c.cloud.returned].sort(), ['b1', 'b2', 'b3']);
+    assert.deepEqual(c.owned('b'), ['b']);
+  });
+
   it('lets a stale owner’s late transaction fail', async () => {
     c = await cluster();
     await c.submit('a', 'j-33', 2, { sede: 'b' });
