--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -82,6 +82,7 @@
   readonly slices = new Map<string, Slice>();
   /** The design's idle list: empty machines, the one appended last at the end. */
   private idle: Machine[] = [];
+  private readonly ownedVersion: Int;
   private counter = 0;
   private placing = false;
   private recording = false;
@@ -97,6 +98,7 @@
     before: { machines: [string, MachineRecord][]; slices: [string, SliceRecord, Int][] },
   ) {
     const now = context.clock.now();
+    this.ownedVersion = context.replica.version(partKey(name));
     for (const [id, record] of before.machines) {
       const machine = newMachine(id, record, now);
       machine.recorded = true;
@@ -735,10 +737,12 @@
     }
   }
 
-  /** The condition that makes a stale owner's transaction, or a late one, fail. */
+  /**
+   * The condition that makes a stale owner's transaction, or a late one, fail. It names the record that made
+   * this node the owner: the newest known may be a successor's by the time a transaction is sent.
+   */
   ownership(): Condition {
-    const key = partKey(this.name);
-    return { key, version: this.context.replica.version(key) };
+    return { key: partKey(this.name), version: this.ownedVersion };
   }
 
   /** One recorder at a time; it goes on until nothing is due. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -65,20 +65,24 @@
   connectedSiblings: () => mesh?.connected() ?? [],
   signal: stop.signal,
 });
-mesh = startMesh({
-  name: settings.node,
-  listen: settings.meshListen,
-  peers: settings.siblings.map((s) => ({ name: s.name, address: s.mesh })),
-  clock: systemClock,
-  signal: stop.signal,
-  onMessage: (from, message) => controller.onMessage(from, message),
-  onConnect: () => controller.onConnect(),
-});
 for (const name of ['SIGTERM', 'SIGINT'] as const) process.once(name, () => stop.abort());
 log.info(
   { version: manifest.version, incarnation, zone: settings.zone, listen: settings.listen },
   'starting',
 );
-await serveHttp(httpApi(controller), settings.listen, stop.signal);
+try {
+  mesh = await startMesh({
+    name: settings.node,
+    listen: settings.meshListen,
+    peers: settings.siblings.map((s) => ({ name: s.name, address: s.mesh })),
+    clock: systemClock,
+    signal: stop.signal,
+    onMessage: (from, message) => controller.onMessage(from, message),
+    onConnect: () => controller.onConnect(),
+  });
+  await serveHttp(httpApi(controller), settings.listen, stop.signal);
+} catch (error) {
+  fail(String(error instanceof Error ? error.message : error));
+}
 await controller.run();
 log.info({}, 'stopped');
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -25,6 +25,8 @@
   const agent = new Agent({ keepAlive: true, maxSockets: CLIENT_SOCKETS, scheduling: 'lifo' });
   return (call) =>
     new Promise((resolve, reject) => {
+      // Before a request exists: one destroyed without a listener for its error would end the process.
+      if (call.signal?.aborted) return reject(new NoAnswer(`${call.method} ${call.path}: cancelled`));
       const colon = call.address.lastIndexOf(':');
       const headers: Record<string, string | number> = {};
       if (call.body !== undefined) {
@@ -53,7 +55,6 @@
         clearTimeout(timer);
         call.signal?.removeEventListener('abort', onAbort);
       };
-      if (call.signal?.aborted) return fail('cancelled');
       call.signal?.addEventListener('abort', onAbort);
       req.on('error', (error) => fail(error.message));
       req.on('response', (res) => {
--- a/src/transport/mesh.ts
+++ b/src/transport/mesh.ts
@@ -52,7 +52,7 @@
  * Connections between siblings: each node dials every other and sends on the connection it dialled, so
  * no two need agree on which connection counts. The first frame names the sender.
  */
-export function startMesh(options: {
+export async function startMesh(options: {
   name: string;
   listen: string;
   peers: MeshPeer[];
@@ -60,7 +60,7 @@
   signal: AbortSignal;
   onMessage: (from: string, message: unknown) => void;
   onConnect: (peer: string) => void;
-}): Mesh {
+}): Promise<Mesh> {
   const { signal, clock } = options;
   const out = new Map<string, Socket>();
   const known = new Set(options.peers.map((peer) => peer.name));
@@ -79,7 +79,10 @@
     });
   });
   const at = split(options.listen);
-  server.listen(at.port, at.host);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(at.port, at.host, resolve);
+  });
   signal.addEventListener('abort', () => server.close());
 
   const dial = async (peer: MeshPeer): Promise<void> => {
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -4,6 +4,7 @@
 import { sliceCapacity } from '../src/bookkeeping/records.ts';
 import { TaskSet } from '../src/bookkeeping/task-set.ts';
 import { Averages } from '../src/coordination/averages.ts';
+import { Part, type PartContext } from '../src/coordination/part.ts';
 import { partMap } from '../src/coordination/parts.ts';
 import { pick } from '../src/coordination/placement.ts';
 import { readOperatorSettings } from '../src/operator-settings.ts';
@@ -81,6 +82,16 @@
   });
 });
 
+describe('ownership', () => {
+  it('conditions transactions on the record that made this node the owner, not on a successor’s', () => {
+    let version = 5;
+    const context = { clock: new FakeClock(), replica: { version: () => version } } as unknown as PartContext;
+    const part = new Part('a', 1, context, new AbortController().signal, { machines: [], slices: [] });
+    version = 6; // another owner's record arrives while a transaction of this one is being prepared
+    assert.deepEqual(part.ownership(), { key: 'live/part/a', version: 5 });
+  });
+});
+
 describe('waiting order', () => {
   const settings = readSettings({
     ...platform,
