--- a/src/constants.ts
+++ b/src/constants.ts
@@ -120,6 +120,8 @@
 export const MESH_BEAT_MS = 1000;
 /** Load, in machines' worth. A part's average must move by this for a message of its own. */
 export const AVERAGE_STEP = 0.1;
+/** Load, in machines' worth, that a part without machines tells: above that of any other. */
+export const NO_MACHINES = 1e6;
 /** Milliseconds a connection to a sibling may take. */
 export const MESH_CONNECT_MS = 2000;
 /** Milliseconds before a lost connection to a sibling is tried again. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -6,6 +6,7 @@
   FAULTS_TO_DRAIN,
   FENCE_RETRY_MS,
   LEASE_MARGIN_MS,
+  NO_MACHINES,
   PREEMPT_SLACK_MS,
   PROGRESS_MS,
   RETRY_MS,
@@ -27,6 +28,7 @@
 } from '../bookkeeping/records.ts';
 import { Slice } from '../bookkeeping/slices.ts';
 import type { Replica, Store } from '../bookkeeping/store.ts';
+import { TaskSet } from '../bookkeeping/task-set.ts';
 import type { MachineType } from '../protocol/cloud.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
 import type { Condition, Write } from '../protocol/state.ts';
@@ -800,7 +802,7 @@
     );
     if (result.kind !== 'committed') return; // the replica will tell why
     slice.version = result.revision;
-    slice.recorded = new Slice(slice.key, value, result.revision, true).settled;
+    slice.recorded = new TaskSet(value.count, value.settled);
   }
 
   /** All of the slice's tasks are settled: it leaves its job, and the last slice finishes the job. */
@@ -841,40 +843,23 @@
     return this.idle.filter((m) => usable.has(m)).length;
   }
 
-  summary(): {
-    average: number;
-    machines: number;
-    cores: number;
-    running: Record<string, number>;
-    freeCores: number;
-    freeSpotCores: number;
-    waitingCores: number;
-  } {
+  summary(): { average: number; machines: number; cores: number; running: Record<string, number> } {
     const running: Record<string, number> = {};
-    const open = this.open(this.context.clock.now());
-    const result = { freeCores: 0, freeSpotCores: 0, waitingCores: 0 };
-    let cores = 0;
-    let load = 0;
     for (const machine of this.machines.values()) {
       for (const attempt of machine.attempts.values()) {
         const job = attempt.slice?.spec.id;
         if (job !== undefined && attempt.phase === 'seen') running[job] = (running[job] ?? 0) + 1;
       }
     }
-    for (const machine of open) {
-      load += machine.load + machine.drift;
-      cores += machine.type?.cores ?? 0;
-      const left = Math.max(0, room(machine)?.cores ?? 0);
-      if (machine.spot) result.freeSpotCores += left;
-      else result.freeCores += left;
-    }
+    const open = this.open(this.context.clock.now());
+    const cores = open.reduce((sum, machine) => sum + (machine.type?.cores ?? 0), 0);
+    const load = open.reduce((sum, machine) => sum + machine.load + machine.drift, 0);
+    let waiting = 0;
     for (const slice of this.slices.values()) {
-      result.waitingCores += (slice.waiting.length + slice.held.size) * slice.spec.cores;
+      waiting += (slice.waiting.length + slice.held.size) * slice.spec.cores;
     }
-    // A part without machines is the last to be given anything.
-    const perMachine = open.length > 0 ? cores / open.length : 0;
-    const waiting = perMachine > 0 ? result.waitingCores / perMachine : 0;
-    const average = open.length > 0 ? (load + waiting) / open.length : 1e6;
-    return { average, machines: open.length, cores, running, ...result };
+    // Waits count as load, in machines' worth. A part without machines is the last to be given anything.
+    const average = cores > 0 ? load / open.length + waiting / cores : NO_MACHINES;
+    return { average, machines: open.length, cores, running };
   }
 }
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -178,21 +178,14 @@
     supply: Need,
   ): { type: MachineType; spot: boolean; cores: number } | null {
     const specs = [...this.part.slices.values()].map((slice) => slice.spec);
+    const perCore = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price) / t.cores;
+    const useful = (t: MachineType, spot: boolean): boolean =>
+      specs.some((s) => (s.spot || !spot) && (s.types === null || s.types.includes(t.name)) && fits(s, t));
     const find = (spot: boolean): MachineType | null =>
       catalog
-        .filter(
-          (t) => t.zones.includes(this.zone) && (this.noneUntil.get(`${t.name}/${String(spot)}`) ?? 0) <= now,
-        )
-        .filter((t) =>
-          specs.some(
-            (s) => (s.spot || !spot) && (s.types === null || s.types.includes(t.name)) && fits(s, t),
-          ),
-        )
-        .sort((a, b) => (spot ? a.spotPrice - b.spotPrice : a.price - b.price) / 1 || b.cores - a.cores)
-        .sort((a, b) =>
-          spot ? a.spotPrice / a.cores - b.spotPrice / b.cores : a.price / a.cores - b.price / b.cores,
-        )
-        .at(0) ?? null;
+        .filter((t) => t.zones.includes(this.zone) && useful(t, spot))
+        .filter((t) => (this.noneUntil.get(`${t.name}/${String(spot)}`) ?? 0) <= now)
+        .sort((a, b) => perCore(a, spot) - perCore(b, spot) || b.cores - a.cores)[0] ?? null;
     if (supply.ordinary < want.ordinary) {
       const type = find(false);
       if (type) return { type, spot: false, cores: want.ordinary - supply.ordinary };
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -17,10 +17,6 @@
     running: z.record(z.string(), z.number()),
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
     wants: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
-    /** Cores free on machines up, by whether the machine is a spot machine, and cores waited for. */
-    freeCores: z.number(),
-    freeSpotCores: z.number(),
-    waitingCores: z.number(),
   }),
   z.object({
     kind: z.literal('ask'),
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -146,9 +146,6 @@
     cores: 16,
     running: {},
     wants: {},
-    freeCores: 0,
-    freeSpotCores: 0,
-    waitingCores: 0,
   });
 
   it('prefers a part flagged idle until its idle machines are used up, then the lower average', () => {
