--- /dev/null
+++ b/src/bookkeeping/open-jobs.ts
@@ -0,0 +1,87 @@
+import type { Int } from '../protocol/json.ts';
+import { type OpenJobRecord, type ProgressRecord, sliceName } from './records.ts';
+import type { GivenSlice } from './slices.ts';
+import { TaskSet } from './task-set.ts';
+
+export interface OpenJob {
+  id: string;
+  record: OpenJobRecord;
+  version: Int;
+  /** Tasks not settled in the records. */
+  left: number;
+  /** Since when none is left. */
+  completeSince: number;
+  /** Nobody here tries to end it before. */
+  nextTryAt: number;
+}
+
+/**
+ * The jobs that are not over and what is settled of them, as the followed records say. Kept up to date change
+ * by change, so that nobody has to go through all jobs to know about one.
+ */
+export class OpenJobs {
+  readonly jobs = new Map<string, OpenJob>();
+  /** Jobs none of whose tasks is left. */
+  readonly complete = new Set<OpenJob>();
+  private readonly settled = new Map<string, { encoded: string; size: number }>();
+  private readonly pages = new Map<string, string[]>();
+
+  set(id: string, record: OpenJobRecord, version: Int, now: number): OpenJob {
+    const job: OpenJob = { id, record, version, left: 0, completeSince: Infinity, nextTryAt: 0 };
+    this.remove(id);
+    this.jobs.set(id, job);
+    this.count(job, now);
+    return job;
+  }
+
+  remove(id: string): OpenJob | null {
+    const job = this.jobs.get(id);
+    if (!job) return null;
+    this.jobs.delete(id);
+    this.complete.delete(job);
+    return job;
+  }
+
+  /** A page of progress as it is now; null: it is gone. */
+  setProgress(key: string, record: ProgressRecord | null, now: number): void {
+    const changed = new Set<string>();
+    const names = Object.keys(record?.settled ?? {});
+    const before = this.pages.get(key);
+    if (before) {
+      const kept = new Set(names);
+      for (const name of before) if (!kept.has(name)) this.settled.delete(name);
+    }
+    this.pages.set(key, names);
+    for (const name of names) {
+      const encoded = record?.settled[name] ?? '';
+      if (this.settled.get(name)?.encoded === encoded) continue;
+      this.settled.set(name, { encoded, size: TaskSet.countIn(encoded) });
+      changed.add(name.split('/').at(-2) ?? '');
+    }
+    for (const id of changed) {
+      const job = this.jobs.get(id);
+      if (job) this.count(job, now);
+    }
+  }
+
+  /** What a part was given of the job. */
+  given(job: OpenJob, part: string): GivenSlice[] {
+    const { spec, at, slices } = job.record;
+    return slices.flatMap(({ part: to, from, count }, index) => {
+      if (to !== part) return [];
+      const name = sliceName(part, job.id, index);
+      return [{ name, spec, at, from, count, settled: this.settled.get(name)?.encoded ?? '' }];
+    });
+  }
+
+  private count(job: OpenJob, now: number): void {
+    let left = job.record.spec.tasks;
+    job.record.slices.forEach(({ part }, index) => {
+      left -= this.settled.get(sliceName(part, job.id, index))?.size ?? 0;
+    });
+    job.left = left;
+    if (left > 0 || this.complete.has(job)) return;
+    job.completeSince = now;
+    this.complete.add(job);
+  }
+}
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -24,14 +24,26 @@
   zone: string;
   spot: boolean;
 }
-/** Tasks `from` to `from + count` of a job as far as they are not settled (done, or moved to another slice). */
-export interface SliceRecord {
-  spec: JobSpec;
+/** Machines of a part that may hold a task, by name. Many in one record: the state service limits changes. */
+export interface MachinesRecord {
+  machines: Record<string, MachineRecord>;
+}
+/** The tasks `from` to `from + count` of a job, given to a part. A slice is named `part/job/index`. */
+export interface SliceRange {
+  part: string;
   from: number;
   count: number;
-  settled: string;
+}
+/** A job that is not over, with what each part was given of it. Written once, when it is accepted. */
+export interface OpenJobRecord {
+  spec: JobSpec;
   /** Time of day of the submission, milliseconds; orders the waits. */
   at: number;
+  slices: SliceRange[];
+}
+/** Which tasks of a part's slices are settled, by the slice's name. Tasks only ever join these sets. */
+export interface ProgressRecord {
+  settled: Record<string, string>;
 }
 export interface Amounts {
   cores: number;
@@ -44,14 +56,15 @@
 export interface JobRecord {
   status: 'open' | 'done' | 'cancelled';
   tasks: number;
-  /** The job's slices that are not finished, as `part/job/chunk`. */
-  open: string[];
 }
 
 export const nodeKey = (name: string): string => `${LIVE}node/${name}`;
 export const partKey = (part: string): string => `${LIVE}part/${part}`;
-export const machineKey = (part: string, id: string): string => `${LIVE}machine/${part}/${id}`;
-export const sliceKey = (slice: string): string => `${LIVE}slice/${slice}`;
+export const machinesPrefix = (part: string): string => `${LIVE}machines/${part}/`;
+export const progressPrefix = (part: string): string => `${LIVE}progress/${part}/`;
+export const openJobKey = (id: string): string => `${LIVE}job/${id}`;
+export const sliceName = (part: string, job: string, index: number): string =>
+  `${part}/${job}/${String(index)}`;
 export const quotaKey = (team: string): string => `${LIVE}quota/${team}`;
 export const jobKey = (id: string): string => `job/${id}`;
 
@@ -80,21 +93,27 @@
 const node = z.object({ incarnation: z.string(), unreachable: z.array(z.string()) });
 const part = z.object({ owner: z.string(), incarnation: z.string(), token: z.number() });
 const machine = z.object({ endpoint: z.string(), type: z.string(), zone: z.string(), spot: z.boolean() });
-const slice = z.object({ spec, from: z.number(), count: z.number(), settled: z.string(), at: z.number() });
+const machines = z.object({ machines: z.record(z.string(), machine) });
+const openJob = z.object({
+  spec,
+  at: z.number(),
+  slices: z.array(z.object({ part: z.string(), from: z.number(), count: z.number() })),
+});
+const progress = z.object({ settled: z.record(z.string(), z.string()) });
 const quota = z.object({
   shares: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
 });
 const job = z.object({
   status: z.enum(['open', 'done', 'cancelled']),
   tasks: z.number(),
-  open: z.array(z.string()),
 });
 
 export type LiveRecord =
   | { kind: 'node'; name: string; record: NodeRecord | null }
   | { kind: 'part'; part: string; record: PartRecord | null }
-  | { kind: 'machine'; part: string; id: string; record: MachineRecord | null }
-  | { kind: 'slice'; part: string; slice: string; record: SliceRecord | null }
+  | { kind: 'machines'; part: string; key: string; record: MachinesRecord | null }
+  | { kind: 'progress'; part: string; key: string; record: ProgressRecord | null }
+  | { kind: 'job'; id: string; record: OpenJobRecord | null }
   | { kind: 'quota'; team: string; record: QuotaRecord | null };
 
 /** What a key under `live/` and its value (undefined: removed) say; null for a key of another version. */
@@ -107,15 +126,12 @@
       return { kind, name: first, record: gone ? null : z.parse(node, value) };
     case 'part':
       return { kind, part: first, record: gone ? null : z.parse(part, value) };
-    case 'machine':
-      return { kind, part: first, id: rest.join('/'), record: gone ? null : z.parse(machine, value) };
-    case 'slice':
-      return {
-        kind,
-        part: first,
-        slice: [first, ...rest].join('/'),
-        record: gone ? null : z.parse(slice, value),
-      };
+    case 'machines':
+      return { kind, part: first, key, record: gone ? null : z.parse(machines, value) };
+    case 'progress':
+      return { kind, part: first, key, record: gone ? null : z.parse(progress, value) };
+    case 'job':
+      return { kind, id: first, record: gone ? null : z.parse(openJob, value) };
     case 'quota':
       return { kind, team: [first, ...rest].join('/'), record: gone ? null : z.parse(quota, value) };
     default:
--- a/src/bookkeeping/slices.ts
+++ b/src/bookkeeping/slices.ts
@@ -1,8 +1,16 @@
-import type { Int } from '../protocol/json.ts';
 import type { JobSpec } from '../protocol/users.ts';
-import type { SliceRecord } from './records.ts';
 import { TaskSet } from './task-set.ts';
 
+/** What a part was given of a job, and which of it the state service has as settled. */
+export interface GivenSlice {
+  name: string;
+  spec: JobSpec;
+  at: number;
+  from: number;
+  count: number;
+  settled: string;
+}
+
 /**
  * A slice at its part's owner. Each task is settled, held (it may be on a machine that is not fenced
  * yet), waiting, pausing after a failure, or on a machine.
@@ -22,24 +30,18 @@
   /** What the state service has of `settled`. */
   recorded: TaskSet;
   withdrawn = false;
-  finishing = false;
-  /** Nothing is recorded before this time. */
-  recordAt = 0;
   failures = 0;
+  readonly name: string;
 
-  constructor(
-    readonly key: string,
-    record: SliceRecord,
-    public version: Int,
-    held: boolean,
-  ) {
-    this.spec = record.spec;
-    this.from = record.from;
-    this.count = record.count;
-    this.at = record.at;
-    this.settled = new TaskSet(record.count, record.settled);
-    this.recorded = new TaskSet(record.count, record.settled);
-    for (let p = record.count - 1; p >= 0; p--) {
+  constructor(given: GivenSlice, held: boolean) {
+    this.name = given.name;
+    this.spec = given.spec;
+    this.from = given.from;
+    this.count = given.count;
+    this.at = given.at;
+    this.settled = new TaskSet(given.count, given.settled);
+    this.recorded = new TaskSet(given.count, given.settled);
+    for (let p = given.count - 1; p >= 0; p--) {
       if (this.settled.has(p)) continue;
       if (held) this.held.add(p);
       else this.waiting.push(p);
@@ -103,16 +105,6 @@
       this.waiting.push(entry.position);
     }
   }
-
-  record(): SliceRecord {
-    return {
-      spec: this.spec,
-      from: this.from,
-      count: this.count,
-      settled: this.settled.encode(),
-      at: this.at,
-    };
-  }
 }
 
 function remove(list: number[], value: number): void {
--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -1,5 +1,5 @@
 import {
-  FOLLOW_GAP_MS,
+  FOLLOW_SHARE,
   FOLLOW_HOLD_MS,
   LIVE_PAGE_LIMIT,
   RETRY_MS,
@@ -28,6 +28,8 @@
 export class Store {
   private readonly requests: Pace;
   private readonly changes: Pace;
+  /** Milliseconds from one follow to the next at least. */
+  readonly followGapMs: number;
 
   constructor(
     private readonly api: StateApi,
@@ -37,6 +39,7 @@
     const share = STATE_SHARE / limits.nodes;
     this.requests = new Pace(clock, limits.rps * share, limits.rps * share);
     this.changes = new Pace(clock, limits.writeRps * share, limits.writeRps * share);
+    this.followGapMs = 1000 / (limits.rps * share * FOLLOW_SHARE);
   }
 
   async get(key: string, lane: Lane): Promise<Entry | null> {
@@ -71,12 +74,12 @@
 
   private async turn(lane: Lane, writes: number): Promise<void> {
     // The rest leaves a third of each bucket to users and ownership.
-    const reserve = lane === 'work' ? 1 / 3 : 0;
+    const left = (pace: Pace): number => (lane === 'work' ? pace.burst / 3 : 0);
     const began = this.clock.now();
     while (lane !== 'ownership') {
       const wait = Math.max(
-        this.requests.wait(1, reserve),
-        writes > 0 ? this.changes.wait(writes, reserve) : 0,
+        this.requests.wait(1, left(this.requests)),
+        writes > 0 ? this.changes.wait(writes, left(this.changes)) : 0,
       );
       if (wait === 0) break;
       if (lane === 'user' && this.clock.now() + wait - began > USER_WAIT_MS)
@@ -107,6 +110,7 @@
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly onLoading: () => void,
     private readonly onChange: (change: LiveRecord, version: Int) => void,
     private readonly onCaughtUp: () => void,
   ) {}
@@ -126,7 +130,8 @@
         loaded = true;
         this.onCaughtUp();
         const spent = this.clock.now() - began;
-        if (spent < FOLLOW_GAP_MS) await this.clock.sleep(FOLLOW_GAP_MS - spent, signal);
+        const gap = this.store.followGapMs - spent;
+        if (gap > 0) await this.clock.sleep(gap, signal);
       } catch (error) {
         if (signal.aborted) return;
         if (error instanceof TooOld) loaded = false;
@@ -167,9 +172,8 @@
       else fresh.delete(event.key);
     }
     const known = [...this.entries.keys()].filter((key) => !fresh.has(key));
-    // Ownership first: what follows is judged by it.
-    const order = (key: string): number => (key.startsWith(`${LIVE}part/`) ? 0 : 1);
-    for (const entry of [...fresh.values()].sort((a, b) => order(a.key) - order(b.key))) {
+    this.onLoading();
+    for (const entry of fresh.values()) {
       if (this.entries.get(entry.key)?.version !== entry.version) this.put(entry);
     }
     for (const key of known) {
--- a/src/bookkeeping/task-set.ts
+++ b/src/bookkeeping/task-set.ts
@@ -12,6 +12,13 @@
     for (let i = 0; i < capacity; i++) if (this.has(i)) this.members++;
   }
 
+  /** How many members a record of a set has. */
+  static countIn(encoded: string): number {
+    let members = 0;
+    for (let byte of Buffer.from(encoded, 'base64')) for (; byte > 0; byte &= byte - 1) members++;
+    return members;
+  }
+
   get size(): number {
     return this.members;
   }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -32,8 +32,8 @@
 export const STATE_DEADLINE_MS = 1000;
 /** Milliseconds a follow waits for changes. Short, because its return is our proof of contact. */
 export const FOLLOW_HOLD_MS = 1500;
-/** Milliseconds from one follow to the next at least, so that a stream of changes stays in the request limit. */
-export const FOLLOW_GAP_MS = 40;
+/** Share of a node's requests that follows may take in a stream of changes; users' reads need the rest. */
+export const FOLLOW_SHARE = 0.25;
 /** Milliseconds a node's lease lives. Longer costs time after a crash, shorter costs false takeovers. */
 export const NODE_LEASE_MS = 4000;
 /** Milliseconds between extensions of the node's lease: three tries before it runs out. */
@@ -46,7 +46,7 @@
 export const STATE_SHARE = 0.85;
 /** Milliseconds a user's request may wait for its turn at the state service before it is refused. */
 export const USER_WAIT_MS = 300;
-/** Bytes of a value left for a slice's description, the rest holds its task bits. */
+/** Bytes of a value left beside the bits of a slice's tasks. */
 export const SLICE_SPEC_BYTES = 4096;
 
 // --- ownership ---
@@ -63,6 +63,9 @@
 /** Milliseconds of safety added to every reckoning of when a worker's lease is over. */
 export const LEASE_MARGIN_MS = 1500;
 
+/** Machines whose part is kept in memory; above the machines of any deployment, names of gone ones included. */
+export const PART_CACHE = 20_000;
+
 // --- workers ---
 /** Milliseconds a direct command may take before its outcome counts as unknown. */
 export const COMMAND_DEADLINE_MS = 1500;
@@ -88,8 +91,14 @@
 export const TASK_RETRY_MAX_MS = 30_000;
 
 // --- bookkeeping of progress ---
-/** Milliseconds between records of a slice's progress; the workers keep results until then. */
+/** Milliseconds between records of a part's progress; the workers keep results until then. */
 export const PROGRESS_MS = 2500;
+/** Milliseconds between such records when all tasks of a slice have ended: a user may be waiting for it. */
+export const PROGRESS_SOON_MS = 300;
+/** Bytes of a page of small records: every node reads it again whenever an entry of it changes. */
+export const PAGE_BYTES = 8192;
+/** Milliseconds after which any node ends a job all of whose tasks are settled, if its first part's owner has not. */
+export const FINISH_STEP_MS = 2000;
 
 // --- renting ---
 /** Milliseconds between looks at how many machines a part needs. */
@@ -150,14 +159,16 @@
 export const CONTACT_STALE_MS = 3000;
 /** Groups in which the tasks of a very large job are shared out, so that it does not hold the process up. */
 export const SHARING_GROUPS = 1000;
-/** Tries of a withdrawal against owners that finish slices of the job at the same time. */
-export const WITHDRAW_TRIES = 8;
+/** Tries of a withdrawal against a job that ends at the same time. */
+export const WITHDRAW_TRIES = 3;
 /** Milliseconds a machine may be listed as running without ever reporting before it is returned. */
 export const MUTE_MS = 45_000;
 /** Milliseconds after which a rented machine that no list shows is taken for gone, beyond twice the list's lag. */
 export const UNLISTED_MS = 20_000;
 
 // --- waiting order ---
+/** Milliseconds between two rounds of placing at least; what happens in between is placed together. */
+export const PLACE_GAP_MS = 20;
 /** Milliseconds for which the order of the waits is kept before it is reckoned again. */
 export const ORDER_MS = 300;
 /** Ratio of the reckoned run time below which no run is expected: an aim missed even so is given up. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -4,6 +4,7 @@
   CLOUD_DEADLINE_MS,
   CLOCK_DRIFT,
   COMMAND_DEADLINE_MS,
+  FINISH_STEP_MS,
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
   LIST_MS,
@@ -20,14 +21,17 @@
   STATE_DEADLINE_MS,
 } from '../constants.ts';
 import {
+  jobKey,
+  type JobRecord,
   type LiveRecord,
-  type MachineRecord,
+  type MachinesRecord,
+  openJobKey,
+  type ProgressRecord,
   quotaKey,
   type QuotaRecord,
-  type SliceRecord,
 } from '../bookkeeping/records.ts';
+import { type OpenJob, OpenJobs } from '../bookkeeping/open-jobs.ts';
 import { Replica, Store } from '../bookkeeping/store.ts';
-import { TaskSet } from '../bookkeeping/task-set.ts';
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
@@ -71,10 +75,8 @@
   told: { idle: boolean; average: number; at: number };
 }
 
-interface KnownSlice {
-  record: SliceRecord;
-  left: number;
-}
+/** The pages of one kind that a part's owner keeps, by key. */
+type KnownPages<T> = Map<string, { record: T; version: Int }>;
 
 /** One controller node: wires the replica, the membership, the owned parts and the users' requests together. */
 export class Controller implements ApiHandlers {
@@ -87,8 +89,10 @@
   private readonly jobs: Jobs;
   private readonly cloud: CloudCalls;
   private readonly owned = new Map<string, Owned>();
-  private readonly slices = new Map<string, KnownSlice & { version: Int }>();
-  private readonly machines = new Map<string, Map<string, MachineRecord>>();
+  private readonly openJobs = new OpenJobs();
+  private readonly machines = new Map<string, KnownPages<MachinesRecord>>();
+  private readonly progressPages = new Map<string, KnownPages<ProgressRecord>>();
+  private finishing = false;
   private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
   private readonly proofMs: number;
   private asks = 0;
@@ -106,6 +110,9 @@
       this.store,
       clock,
       log,
+      // While all is read anew, ownership is judged only when the records are complete: a part taken over on
+      // half of them would not know every machine and slice of the owner before.
+      () => (this.loaded = false),
       (change, version) => this.onChange(change, version),
       () => this.onCaughtUp(),
     );
@@ -175,20 +182,26 @@
         // While loading, the part's machines and slices are still to come.
         if (this.loaded) this.checkOwned(change.part);
         return;
-      case 'machine': {
-        const known = this.machines.get(change.part) ?? new Map<string, MachineRecord>();
-        this.machines.set(change.part, known);
-        if (change.record) known.set(change.id, change.record);
-        else known.delete(change.id);
-        return;
-      }
-      case 'slice': {
-        const { slice: key, record } = change;
+      case 'machines':
+        return keep(this.machines, change.part, change.key, change.record, version);
+      case 'progress':
+        keep(this.progressPages, change.part, change.key, change.record, version);
+        this.openJobs.setProgress(change.key, change.record, this.deps.clock.now());
+        return void this.finishJobs();
+      case 'job': {
+        const { id, record } = change;
         if (record) {
-          const left = record.count - new TaskSet(record.count, record.settled).size;
-          this.slices.set(key, { record, version, left });
-        } else this.slices.delete(key);
-        this.owned.get(change.part)?.part.onSlice(key, record, version);
+          const job = this.openJobs.set(id, record, version, this.deps.clock.now());
+          for (const [name, { part }] of this.owned) {
+            for (const given of this.openJobs.given(job, name)) part.addSlice(given);
+          }
+          return;
+        }
+        const job = this.openJobs.remove(id);
+        if (!job) return;
+        for (const [name, { part }] of this.owned) {
+          for (const given of this.openJobs.given(job, name)) part.dropSlice(given.name);
+        }
         return;
       }
       case 'quota':
@@ -202,7 +215,7 @@
     this.loaded = true;
     this.membership.onCaughtUp();
     for (const part of this.parts.names) this.checkOwned(part);
-    this.deps.log.info({ slices: this.slices.size }, 'records read');
+    this.deps.log.info({ jobs: this.openJobs.jobs.size }, 'records read');
   }
 
   /** Starts or ends this node's ownership of the part, as the replica shows it at this very revision. */
@@ -220,7 +233,9 @@
     const abort = new AbortController();
     const ends = AbortSignal.any([this.deps.signal, abort.signal]);
     setMaxListeners(0, ends); // every open call of the part listens
-    const slices = [...this.slices].filter(([key]) => key.startsWith(`${name}/`));
+    const slices = [...this.openJobs.jobs.values()].flatMap((job) => this.openJobs.given(job, name));
+    const pages = <T>(of: Map<string, KnownPages<T>>): [string, T, Int][] =>
+      [...(of.get(name) ?? [])].map(([key, { record, version }]) => [key, record, version]);
     const part = new Part(
       name,
       record.token,
@@ -242,8 +257,9 @@
       },
       ends,
       {
-        machines: [...(this.machines.get(name) ?? [])],
-        slices: slices.map(([key, s]) => [key, s.record, s.version]),
+        machines: pages(this.machines),
+        progress: pages(this.progressPages),
+        slices,
       },
     );
     const renting = new Renting(part, this.parts.zoneOf(name), {
@@ -254,6 +270,7 @@
       catalog: () => this.types,
       onUnreachable: () => this.membership.setReach(name, false),
       reachedByNone: () => this.membership.reachedByNone(name),
+      belongs: (id) => this.parts.partOf({ id, zone: this.parts.zoneOf(name) }) === name,
     });
     this.owned.set(name, { part, renting, abort, told: { idle: false, average: -1, at: -Infinity } });
     log.info(
@@ -284,8 +301,7 @@
   }
 
   private progress(job: string): { left: number; running: number } {
-    let left = 0;
-    for (const slice of this.slices.values()) if (slice.record.spec.id === job) left += slice.left;
+    const left = this.openJobs.jobs.get(job)?.left ?? 0;
     let running = 0;
     for (const message of this.averages.all()) running += message.running[job] ?? 0;
     return { left, running };
@@ -295,17 +311,13 @@
   private servingOrder(): Map<string, number> {
     const now = this.deps.clock.now();
     if (now - this.order.at < ORDER_MS) return this.order.jobs;
-    const jobs = new Map<string, Planned>();
-    for (const { record, left } of this.slices.values()) {
-      const { spec, at } = record;
-      const job = jobs.get(spec.id) ?? { spec, at, left: 0, tasks: 0, guaranteed: false };
-      job.tasks += left;
-      job.left = job.tasks / spec.tasks;
-      jobs.set(spec.id, job);
-    }
+    const jobs = [...this.openJobs.jobs.values()].map((job): Planned => {
+      const { spec, at } = job.record;
+      return { spec, at, left: job.left / spec.tasks, tasks: job.left, guaranteed: false };
+    });
     // A job is guaranteed if it fits into its team's guarantee with the team's earlier unfinished jobs.
     const sums = new Map<string, { cores: number; accelerators: number }>();
-    for (const job of [...jobs.values()].sort((a, b) => a.at - b.at)) {
+    for (const job of [...jobs].sort((a, b) => a.at - b.at)) {
       const { team, cores, accelerators } = job.spec;
       const sum = sums.get(team) ?? { cores: 0, accelerators: 0 };
       sums.set(team, sum);
@@ -316,7 +328,7 @@
         sum.cores <= guarantee.cores && (accelerators === 0 || sum.accelerators <= guarantee.accelerators);
     }
     const cores = this.averages.all().reduce((sum, part) => sum + part.cores, 0);
-    const order = servingOrder([...jobs.values()], cores, this.deps.wallClock(), this.deps.settings);
+    const order = servingOrder(jobs, cores, this.deps.wallClock(), this.deps.settings);
     this.order = { at: now, jobs: order };
     return order;
   }
@@ -414,6 +426,7 @@
       token: part.token,
       idle,
       wants: Object.fromEntries(part.wants),
+      running: part.running(),
       ...summary,
     };
     this.averages.set(message);
@@ -422,7 +435,54 @@
 
   // --- duties ---
 
+  /**
+   * Ends the jobs all of whose tasks are settled in the records. What is settled stays so, hence any node may:
+   * the owner of the job's first slice does it at once, the others only if that owner does not.
+   */
+  private async finishJobs(): Promise<void> {
+    if (this.finishing || !this.loaded) return;
+    this.finishing = true;
+    try {
+      for (const job of this.openJobs.complete) {
+        const now = this.deps.clock.now();
+        const first = job.record.slices[0]?.part ?? '';
+        if (now < job.nextTryAt) continue;
+        if (!this.owned.has(first) && now - job.completeSince < FINISH_STEP_MS) continue;
+        job.nextTryAt = now + FINISH_STEP_MS; // the replica shows it long before, if it is carried out
+        await this.finish(job);
+      }
+    } finally {
+      this.finishing = false;
+    }
+  }
+
+  private async finish(job: OpenJob): Promise<void> {
+    const { id, record, version } = job;
+    const { tasks, class: of, estimateS } = record.spec;
+    const value: JobRecord = { status: 'done', tasks };
+    try {
+      // Both records were written by the acceptance and have its version until the job is over.
+      const result = await this.store.txn(
+        [
+          { key: jobKey(id), version },
+          { key: openJobKey(id), version },
+        ],
+        [
+          { op: 'put', key: jobKey(id), value },
+          { op: 'delete', key: openJobKey(id) },
+        ],
+        'user',
+      );
+      const tookS = Math.round((this.deps.wallClock() - record.at) / 1000);
+      this.deps.log.debug({ job: id, class: of, tasks, estimateS, tookS, result: result.kind }, 'job done');
+    } catch (error) {
+      job.nextTryAt = this.deps.clock.now() + RETRY_MS;
+      this.deps.log.debug({ job: id, err: String(error) }, 'job not ended yet');
+    }
+  }
+
   private tickParts(): void {
+    void this.finishJobs();
     for (const [name, owned] of this.owned) {
       owned.part.tick();
       this.tell(name, owned);
@@ -444,7 +504,8 @@
   /** A part that this node could not reach is tried again, so that it can be given to it. */
   private async tryReach(): Promise<void> {
     for (const part of this.membership.unreached) {
-      const machines = [...(this.machines.get(part)?.values() ?? [])];
+      const pages = [...(this.machines.get(part)?.values() ?? [])];
+      const machines = pages.flatMap((page) => Object.values(page.record.machines));
       const tried: Promise<boolean>[] = [];
       while (tried.length < REACH_TRIES && machines.length > 0) {
         const [machine] = machines.splice(this.deps.random.below(machines.length), 1);
@@ -537,3 +598,16 @@
     return [...this.owned.keys()];
   }
 }
+
+function keep<T>(
+  pages: Map<string, KnownPages<T>>,
+  part: string,
+  key: string,
+  record: T | null,
+  version: Int,
+): void {
+  const known: KnownPages<T> = pages.get(part) ?? new Map();
+  pages.set(part, known);
+  if (record) known.set(key, { record, version });
+  else known.delete(key);
+}
--- a/src/coordination/jobs.ts
+++ b/src/coordination/jobs.ts
@@ -3,10 +3,11 @@
 import {
   jobKey,
   type JobRecord,
+  openJobKey,
+  type OpenJobRecord,
   readJob,
   sliceCapacity,
-  sliceKey,
-  type SliceRecord,
+  type SliceRange,
 } from '../bookkeeping/records.ts';
 import type { Replica, Store } from '../bookkeeping/store.ts';
 import type { MachineType } from '../protocol/cloud.ts';
@@ -141,11 +142,15 @@
       if (known) return { status: 200, body: encodeView(this.view(spec.id, known.job)) };
       return never === null ? answers.undecided : { status: 422, body: { error: never } };
     }
-    const slices = this.shareOut(spec, catalog);
-    const job: JobRecord = { status: 'open', tasks: spec.tasks, open: slices.map((s) => s.key) };
+    const job: JobRecord = { status: 'open', tasks: spec.tasks };
+    const open: OpenJobRecord = {
+      spec,
+      at: this.context.wallClock(),
+      slices: this.shareOut(spec, catalog),
+    };
     const writes: Write[] = [
       { op: 'put', key: jobKey(spec.id), value: job },
-      ...slices.map((s): Write => ({ op: 'put', key: sliceKey(s.key), value: s.record })),
+      { op: 'put', key: openJobKey(spec.id), value: open },
     ];
     try {
       const result = await this.context.store.txn([{ key: jobKey(spec.id), version: 0 }], writes, 'user');
@@ -183,15 +188,12 @@
    * The design's choice for every task, within what the job's zone rules allow. Settling those here, by
    * which tasks a part is given, makes them hold whatever the parts do later.
    */
-  private shareOut(spec: JobSpec, catalog: MachineType[]): { key: string; record: SliceRecord }[] {
+  private shareOut(spec: JobSpec, catalog: MachineType[]): SliceRange[] {
     const { averages, parts, random, settings } = this.context;
     const zones = new Set(catalog.flatMap((type) => this.zonesFor(spec, type)));
     let candidates = parts.names.filter((part) => zones.has(parts.zoneOf(part)));
     const perZone = spec.spread ? Math.ceil(spec.tasks / 2) : spec.tasks;
     const capacity = sliceCapacity(settings.valueKb);
-    // One transaction holds the job and its slices, so a job is in as many parts as that leaves room for.
-    const chunks = Math.max(2, settings.txnOps - 1 - Math.ceil(spec.tasks / capacity));
-    while (candidates.length > chunks) candidates.splice(random.below(candidates.length), 1);
     if (spec.oneZone) candidates = [averages.choose(candidates, random)];
     const counts = new Map<string, number>();
     const inZone = new Map<string, number>();
@@ -208,16 +210,12 @@
       inZone.set(zone, (inZone.get(zone) ?? 0) + count);
       given += count;
     }
-    const at = this.context.wallClock();
-    const slices: { key: string; record: SliceRecord }[] = [];
+    const slices: SliceRange[] = [];
     let from = 0;
     for (const [part, total] of counts) {
-      for (let done = 0, chunk = 0; done < total; chunk++) {
+      for (let done = 0; done < total;) {
         const count = Math.min(capacity, total - done);
-        slices.push({
-          key: `${part}/${spec.id}/${String(chunk)}`,
-          record: { spec, from, count, settled: '', at },
-        });
+        slices.push({ part, from, count });
         from += count;
         done += count;
       }
@@ -234,12 +232,12 @@
       const result = await this.context.store.txn(
         [condition],
         [
-          { op: 'put', key: condition.key, value: { ...job, status: 'cancelled', open: [] } },
-          ...job.open.map((slice): Write => ({ op: 'delete', key: sliceKey(slice) })),
+          { op: 'put', key: condition.key, value: { ...job, status: 'cancelled' } },
+          { op: 'delete', key: openJobKey(id) },
         ],
         'user',
       );
-      if (result.kind !== 'committed') continue; // an owner finished a slice meanwhile
+      if (result.kind !== 'committed') continue; // it was done, or cancelled, meanwhile
       this.remember(id, 'cancelled');
       return { status: 200, body: encodeState(id, 'cancelled') };
     }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -7,9 +7,11 @@
   FENCE_RETRY_MS,
   LEASE_MARGIN_MS,
   NO_MACHINES,
+  PLACE_GAP_MS,
   PREEMPT_SLACK_MS,
+  PAGE_BYTES,
   PROGRESS_MS,
-  RETRY_MS,
+  PROGRESS_SOON_MS,
   SILENT_REPORTS,
   TASK_RETRY_MAX_MS,
   TASK_RETRY_MS,
@@ -17,21 +19,21 @@
 import { type Attempt, booked, type Machine, type Need, newMachine, room } from '../bookkeeping/machines.ts';
 import {
   type Amounts,
-  jobKey,
-  machineKey,
   type MachineRecord,
+  type MachinesRecord,
+  machinesPrefix,
   partKey,
+  type ProgressRecord,
+  progressPrefix,
   quotaKey,
-  readJob,
-  sliceKey,
-  type SliceRecord,
 } from '../bookkeeping/records.ts';
-import { Slice } from '../bookkeeping/slices.ts';
-import type { Replica, Store } from '../bookkeeping/store.ts';
+import { type Page, Pages } from '../bookkeeping/pages.ts';
+import { type GivenSlice, Slice } from '../bookkeeping/slices.ts';
+import type { Lane, Replica, Store } from '../bookkeeping/store.ts';
 import { TaskSet } from '../bookkeeping/task-set.ts';
 import type { MachineType } from '../protocol/cloud.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
-import type { Condition, Write } from '../protocol/state.ts';
+import { type Condition, StateRefused } from '../protocol/state.ts';
 import {
   decodeReport,
   encodeCommands,
@@ -48,7 +50,7 @@
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
-import { evict, pick } from './placement.ts';
+import { Chooser, evict } from './placement.ts';
 import { latestStart } from './waiting.ts';
 
 export interface PartContext {
@@ -73,6 +75,18 @@
   onOutdated: (part: string) => void;
 }
 
+/** Bytes of a progress entry at its longest: six tasks a character, the name, and the signs around them. */
+const entryBytes = (name: string, tasks: number): number => Math.ceil(tasks / 6) + name.length + 12;
+
+const machineRecord = (m: Machine): MachineRecord => ({
+  endpoint: m.endpoint,
+  type: m.typeName,
+  zone: m.zone,
+  spot: m.spot,
+});
+const machineBytes = (id: string, record: MachineRecord): number =>
+  JSON.stringify(record).length + id.length + 8;
+
 const attemptKey = (task: string, number: Int): string => `${task}#${String(number)}`;
 
 /**
@@ -87,7 +101,16 @@
   private readonly ownedVersion: Int;
   private counter = 0;
   private placing = false;
-  private recording = false;
+  private placedAt = -Infinity;
+  /** Work of lower priority is looked for once a tick, and not at every report. */
+  private mayPreempt = false;
+  /** Whether any slice still holds tasks that a machine not fenced yet may run. */
+  private holding: boolean;
+  private readonly machinePages: Pages;
+  private readonly progressPages: Pages;
+  private recordingMachines = false;
+  private recordingProgress = false;
+  private progressAt = -Infinity;
   private readonly givingUp = new Map<string, { amounts: Amounts; version: Int }>();
   /** What each team lacks of its limit here, for the siblings. */
   wants = new Map<string, Amounts>();
@@ -97,22 +120,46 @@
     readonly token: number,
     private readonly context: PartContext,
     private readonly signal: AbortSignal,
-    before: { machines: [string, MachineRecord][]; slices: [string, SliceRecord, Int][] },
+    before: {
+      machines: [string, MachinesRecord, Int][];
+      progress: [string, ProgressRecord, Int][];
+      slices: GivenSlice[];
+    },
   ) {
     const now = context.clock.now();
     this.ownedVersion = context.replica.version(partKey(name));
-    for (const [id, record] of before.machines) {
-      const machine = newMachine(id, record, now);
-      machine.recorded = true;
-      machine.suspect = true;
-      machine.type = context.typeOf(record.type);
-      // The owner before may have answered reports for as long as it could believe in its ownership.
-      machine.answeredAt = now + context.proofMs;
-      this.machines.set(id, machine);
+    const limit = Math.min(PAGE_BYTES, context.settings.valueKb * 768);
+    this.machinePages = new Pages(machinesPrefix(name), limit);
+    this.progressPages = new Pages(progressPrefix(name), limit);
+    for (const [key, record, version] of before.machines) {
+      const entries = Object.entries(record.machines);
+      this.machinePages.restore(
+        key,
+        version,
+        entries.map(([id, each]) => [id, machineBytes(id, each)]),
+      );
+      for (const [id, each] of entries) {
+        const machine = newMachine(id, each, now);
+        machine.recorded = true;
+        machine.suspect = true;
+        machine.type = context.typeOf(each.type);
+        // The owner before may have answered reports for as long as it could believe in its ownership.
+        machine.answeredAt = now + context.proofMs;
+        this.machines.set(id, machine);
+      }
     }
-    for (const [key, record, version] of before.slices) {
-      this.slices.set(key, new Slice(key, record, version, true));
+    for (const given of before.slices) this.slices.set(given.name, new Slice(given, true));
+    for (const [key, record, version] of before.progress) {
+      const names = Object.keys(record.settled);
+      this.progressPages.restore(
+        key,
+        version,
+        names.map((each) => [each, entryBytes(each, this.slices.get(each)?.count ?? 0)]),
+      );
+      // Of jobs that are over: they leave the page at its next write.
+      for (const each of names) if (!this.slices.has(each)) this.progressPages.remove(each);
     }
+    this.holding = before.slices.length > 0;
   }
 
   get active(): boolean {
@@ -121,24 +168,19 @@
 
   // --- what the replica shows ---
 
-  onSlice(key: string, record: SliceRecord | null, version: Int): void {
-    const slice = this.slices.get(key);
-    if (!record) {
-      if (slice) this.dropSlice(slice);
-      return;
-    }
-    if (slice) {
-      if (version > slice.version) slice.version = version;
-      return;
-    }
-    // New since the takeover: no owner before can have launched any of it.
-    this.slices.set(key, new Slice(key, record, version, false));
+  /** A job's slice, accepted since the takeover: no owner before can have launched any of it. */
+  addSlice(given: GivenSlice): void {
+    if (this.slices.has(given.name)) return;
+    this.slices.set(given.name, new Slice(given, false));
     this.schedulePlacing();
   }
 
-  /** The job was withdrawn, or the slice finished: whatever still runs of it is stopped. */
-  private dropSlice(slice: Slice): void {
-    this.slices.delete(slice.key);
+  /** The job is over: whatever still runs of it is stopped. */
+  dropSlice(name: string): void {
+    const slice = this.slices.get(name);
+    if (!slice) return;
+    this.slices.delete(name);
+    this.progressPages.remove(name);
     slice.withdrawn = true;
     slice.waiting.length = 0;
     slice.pausing.length = 0;
@@ -179,7 +221,9 @@
     // before may have answered later than this owner's first answer.
     machine.answeredAt = Math.max(machine.answeredAt, now);
     if (!this.apply(machine, report, true)) return [];
-    this.schedulePlacing();
+    // Placed before the answer where that is allowed: what the machine gets then needs no call of its own.
+    if (now - this.placedAt >= PLACE_GAP_MS) this.place(machine);
+    else this.schedulePlacing();
     return this.orders(machine, 'report');
   }
 
@@ -366,18 +410,20 @@
   private settle(slice: Slice, position: number): void {
     if (slice.spec.kind === 'service') return; // a replica that exits is replaced
     slice.settle(position);
-    if (slice.settled.full) slice.recordAt = 0;
-    this.record();
+    this.progressPages.touch(slice.name, entryBytes(slice.name, slice.count), slice.settled.full);
+    this.recordProgress();
   }
 
   /** Once no suspect machine is left, what is still unaccounted for runs nowhere. */
   private releaseHeld(): void {
+    if (!this.holding) return;
     for (const machine of this.machines.values()) if (machine.suspect) return;
     for (const slice of this.slices.values()) {
       if (slice.held.size === 0) continue;
       slice.release();
       this.schedulePlacing();
     }
+    this.holding = false;
   }
 
   // --- orders ---
@@ -462,14 +508,17 @@
 
   // --- placing ---
 
-  /** Placing is done once for all that happens together. */
+  /** Placing is done once for all that happens together, and not again within a short gap. */
   schedulePlacing(): void {
     if (this.placing || !this.active) return;
     this.placing = true;
-    setImmediate(() => {
+    const run = (): void => {
       this.placing = false;
       if (this.active) this.place();
-    });
+    };
+    const gap = this.placedAt + PLACE_GAP_MS - this.context.clock.now();
+    if (gap <= 0) setImmediate(run);
+    else void this.context.clock.sleep(gap, this.signal).then(run);
   }
 
   /** Machines that may take tasks now. */
@@ -495,28 +544,41 @@
       .sort((a, b) => place(a) - place(b) || a.at - b.at);
   }
 
-  place(): void {
+  /** Gives waiting tasks machines. `answering`: the machine whose report is being answered with its orders. */
+  place(answering: Machine | null = null): void {
     this.wants.clear();
     if (!this.context.mayAct()) return;
     const now = this.context.clock.now();
+    this.placedAt = now;
+    const queue = this.queue();
+    if (queue.length === 0) return;
     const open = this.open(now);
-    const usable = new Set(open);
-    const used = new Map<string, Amounts>();
+    const left = new Map(open.map((machine) => [machine, room(machine)]));
+    const roomy = open.filter((machine) => (left.get(machine)?.cores ?? 0) > 0);
+    const used = this.usages();
     const touched = new Set<Machine>();
     const claimed = new Map<Machine, Need>();
-    for (const slice of this.queue()) {
+    const preempting = this.mayPreempt;
+    this.mayPreempt = false;
+    for (const slice of queue) {
       const { spec } = slice;
+      let chooser: Chooser | null = null;
       let unplaced = 0;
       while (slice.waiting.length > 0) {
         if (!this.withinLimit(slice, used)) break;
-        const idle = this.idle.filter((m) => usable.has(m));
-        const machine = pick(spec, { open, idle }, this.context.random);
+        chooser ??= new Chooser(
+          spec,
+          { open: roomy, idle: this.idle.filter((m) => left.has(m)) },
+          (m) => left.get(m) ?? null,
+        );
+        const machine = chooser.next(this.context.random);
         const position = machine ? slice.waiting.pop() : undefined;
         if (!machine || position === undefined) {
           unplaced = slice.waiting.length;
           break;
         }
         this.start(machine, slice, position, now);
+        left.set(machine, room(machine));
         touched.add(machine);
         const sum = used.get(spec.team);
         if (sum) {
@@ -524,14 +586,15 @@
           sum.accelerators += spec.accelerators;
         }
       }
+      if (unplaced === 0 || !preempting) continue;
       // Most waits end by themselves in time: work is stopped only for a job that would else miss its aim.
       const wall = this.context.wallClock();
       const start = latestStart(slice, wall, this.context.settings);
-      if (unplaced === 0 || start === Infinity || start - wall > PREEMPT_SLACK_MS) continue;
+      if (start === Infinity || start - wall > PREEMPT_SLACK_MS) continue;
       const most = Math.min(unplaced, this.limitLeft(slice, used));
       for (const machine of this.preempt(slice, most, open, claimed)) touched.add(machine);
     }
-    for (const machine of touched) this.command(machine);
+    for (const machine of touched) if (machine !== answering) this.command(machine);
   }
 
   /** Stops work of lower priority where that makes room; the room is taken when its end is reported. */
@@ -582,23 +645,40 @@
 
   /** What the team's tasks may use here at most: all that could be on a machine counts. */
   usage(team: string): Amounts {
-    const sum = { cores: 0, accelerators: 0 };
+    return this.usages().get(team) ?? { cores: 0, accelerators: 0 };
+  }
+
+  /** The same for every team that has a limit, in one pass over the machines. */
+  private usages(): Map<string, Amounts> {
+    const sums = new Map<string, Amounts>();
+    for (const team of this.context.settings.teams.keys()) {
+      if (this.context.limits.limited(team)) sums.set(team, { cores: 0, accelerators: 0 });
+    }
+    if (sums.size === 0) return sums;
+    const unknown = { cores: 0, accelerators: 0 };
     for (const machine of this.machines.values()) {
-      let unknown = machine.suspect;
+      let full = machine.suspect;
       for (const attempt of machine.attempts.values()) {
-        if (!attempt.slice) unknown = true;
-        else if (attempt.slice.spec.team === team) {
-          sum.cores += attempt.slice.spec.cores;
-          sum.accelerators += attempt.slice.spec.accelerators;
+        if (!attempt.slice) {
+          full = true;
+          continue;
         }
+        const sum = sums.get(attempt.slice.spec.team);
+        if (!sum) continue;
+        sum.cores += attempt.slice.spec.cores;
+        sum.accelerators += attempt.slice.spec.accelerators;
       }
-      if (!unknown) continue;
-      // A machine not fenced since the takeover, or one with a task of a job that is over, may be full of this team's tasks.
+      if (!full) continue;
+      // A machine not fenced since the takeover, or one with a task of a job that is over, may be full of any team's tasks.
       const left = room(machine) ?? machine.type;
-      sum.cores += Math.max(0, left?.cores ?? Infinity);
-      sum.accelerators += Math.max(0, left?.accelerators ?? Infinity);
+      unknown.cores += Math.max(0, left?.cores ?? Infinity);
+      unknown.accelerators += Math.max(0, left?.accelerators ?? Infinity);
     }
-    return sum;
+    for (const sum of sums.values()) {
+      sum.cores += unknown.cores;
+      sum.accelerators += unknown.accelerators;
+    }
+    return sums;
   }
 
   /** Share being given up, until the state service has decided: until then it belongs to nobody. */
@@ -641,8 +721,7 @@
   private withinLimit(slice: Slice, used: Map<string, Amounts>): boolean {
     const { team, cores, accelerators } = slice.spec;
     if (!this.context.limits.limited(team)) return true;
-    let sum = used.get(team);
-    if (!sum) used.set(team, (sum = this.usage(team)));
+    const sum = used.get(team) ?? { cores: 0, accelerators: 0 };
     const share = this.shareOf(team);
     if (
       sum.cores + cores <= share.cores + 1e-6 &&
@@ -676,7 +755,9 @@
       slice.wake(now);
       this.schedulePlacing();
     }
-    this.record();
+    this.recordMachines();
+    this.recordProgress();
+    this.mayPreempt = true;
     if ([...this.slices.values()].some((slice) => slice.waiting.length > 0)) this.schedulePlacing();
   }
 
@@ -723,20 +804,7 @@
     for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
     this.releaseHeld();
     this.schedulePlacing();
-    if (machine.recorded) void this.unrecord(machine);
-  }
-
-  private async unrecord(machine: Machine): Promise<void> {
-    const key = machineKey(this.name, machine.id);
-    while (this.active && this.context.replica.version(key) !== 0) {
-      try {
-        const result = await this.context.store.txn([this.ownership()], [{ op: 'delete', key }], 'work');
-        if (result.kind === 'committed') return;
-      } catch (error) {
-        this.context.log.debug({ err: String(error), machine: machine.id }, 'machine record not removed yet');
-      }
-      await this.context.clock.sleep(RETRY_MS * 4, this.signal);
-    }
+    this.machinePages.remove(machine.id);
   }
 
   /**
@@ -748,92 +816,90 @@
   }
 
   /** One recorder at a time; it goes on until nothing is due. */
-  private record(): void {
-    if (this.recording || !this.active) return;
-    this.recording = true;
-    void (async () => {
-      try {
-        while (this.active && (await this.recordOnce()));
-      } catch (error) {
-        this.context.log.debug({ part: this.name, err: String(error) }, 'not recorded yet');
-      }
-      this.recording = false;
-    })();
+  private recordMachines(): void {
+    for (const m of this.machines.values()) {
+      if (!m.recorded && !m.returning)
+        this.machinePages.touch(m.id, machineBytes(m.id, machineRecord(m)), false);
+    }
+    if (this.recordingMachines || !this.active) return;
+    this.recordingMachines = true;
+    void this.writeAll(() => this.writeMachines()).finally(() => (this.recordingMachines = false));
   }
 
-  /** Writes the most urgent that is due; false when nothing is. */
-  private async recordOnce(): Promise<boolean> {
-    const now = this.context.clock.now();
-    for (const slice of this.slices.values()) {
-      if (!slice.settled.full || slice.recordAt > now) continue;
-      await this.finish(slice);
-      return true;
-    }
-    const machines = [...this.machines.values()]
-      .filter((m) => !m.recorded && !m.returning)
-      .slice(0, this.context.settings.txnOps);
-    if (machines.length > 0) {
-      const writes = machines.map((m): Write => {
-        const value: MachineRecord = { endpoint: m.endpoint, type: m.typeName, zone: m.zone, spot: m.spot };
-        return { op: 'put', key: machineKey(this.name, m.id), value };
-      });
-      const result = await this.context.store.txn([this.ownership()], writes, 'ownership');
-      if (result.kind !== 'committed') return false;
-      for (const machine of machines) machine.recorded = true;
-      this.schedulePlacing();
-      return true;
-    }
-    for (const slice of this.slices.values()) {
-      if (slice.settled.size === slice.recorded.size || slice.settled.full || slice.recordAt > now) continue;
-      slice.recordAt = now + PROGRESS_MS;
-      await this.recordProgress(slice);
-      return true;
+  private recordProgress(): void {
+    if (this.recordingProgress || !this.active) return;
+    this.recordingProgress = true;
+    void this.writeAll(() => this.writeProgress()).finally(() => (this.recordingProgress = false));
+  }
+
+  private async writeAll(write: () => Promise<boolean>): Promise<void> {
+    try {
+      while (this.active && (await write()));
+    } catch (error) {
+      this.context.log.debug({ part: this.name, err: String(error) }, 'not recorded yet');
     }
-    return false;
   }
 
-  private async recordProgress(slice: Slice): Promise<void> {
-    const value = slice.record();
-    const key = sliceKey(slice.key);
-    const result = await this.context.store.txn(
-      [this.ownership(), { key, version: slice.version }],
-      [{ op: 'put', key, value }],
-      'work',
-    );
-    if (result.kind !== 'committed') return; // the replica will tell why
-    slice.version = result.revision;
-    slice.recorded = new TaskSet(value.count, value.settled);
-  }
-
-  /** All of the slice's tasks are settled: it leaves its job, and the last slice finishes the job. */
-  private async finish(slice: Slice): Promise<void> {
-    const key = sliceKey(slice.key);
-    slice.recordAt = this.context.clock.now() + RETRY_MS;
-    const entry = await this.context.store.get(jobKey(slice.spec.id), 'user');
-    const job = entry && readJob(entry.value);
-    // Over, or finished by a transaction whose answer was lost: the replica takes the slice away.
-    if (!entry || !job || job.status !== 'open' || !job.open.includes(slice.key)) return;
-    const open = job.open.filter((other) => other !== slice.key);
-    const result = await this.context.store.txn(
-      [this.ownership(), { key, version: slice.version }, { key: entry.key, version: entry.version }],
-      [
-        { op: 'delete', key },
-        { op: 'put', key: entry.key, value: { ...job, open, status: open.length === 0 ? 'done' : 'open' } },
-      ],
-      'user',
-    );
-    if (result.kind !== 'committed') {
-      // Another slice of the job finished meanwhile: at once again. Else the replica will tell why.
-      if (result.kind === 'conflict' && result.failed.every((failed) => failed === entry.key))
-        slice.recordAt = 0;
-      return;
+  private async writeMachines(): Promise<boolean> {
+    const page = this.machinePages.next(false);
+    if (!page) return false;
+    const written: Machine[] = [];
+    const machines: Record<string, MachineRecord> = {};
+    for (const id of page.names.keys()) {
+      const m = this.machines.get(id);
+      if (!m) continue;
+      written.push(m);
+      machines[id] = machineRecord(m);
     }
-    if (open.length === 0) {
-      const { id, class: of, tasks, estimateS } = slice.spec;
-      const tookS = Math.round((this.context.wallClock() - slice.at) / 1000);
-      this.context.log.debug({ job: id, class: of, tasks, estimateS, tookS }, 'job done');
+    if (!(await this.writePage(page, { machines }, 'ownership'))) return false;
+    for (const machine of written) machine.recorded = true;
+    this.schedulePlacing();
+    return true;
+  }
+
+  private async writeProgress(): Promise<boolean> {
+    const since = this.context.clock.now() - this.progressAt;
+    if (since < PROGRESS_SOON_MS) return false;
+    const page = this.progressPages.next(since < PROGRESS_MS);
+    if (!page) return false;
+    this.progressAt = this.context.clock.now();
+    const urgent = page.urgent;
+    const written: [Slice, string][] = [];
+    for (const name of page.names.keys()) {
+      const slice = this.slices.get(name);
+      if (slice) written.push([slice, slice.settled.encode()]);
+    }
+    const settled = Object.fromEntries(written.map(([slice, encoded]) => [slice.name, encoded]));
+    // What makes a job done goes with the users' calls: somebody waits for it.
+    if (!(await this.writePage(page, { settled }, urgent ? 'user' : 'work'))) return false;
+    for (const [slice, encoded] of written) slice.recorded = new TaskSet(slice.count, encoded);
+    return true;
+  }
+
+  /**
+   * Each write names the version that it replaces, so that one delivered late cannot undo a newer one. A
+   * page whose write had no answer, or found another version, stays dirty, and the replica tells its version.
+   */
+  private async writePage(page: Page, value: MachinesRecord | ProgressRecord, lane: Lane): Promise<boolean> {
+    const { urgent } = page;
+    const version = page.version ?? this.context.replica.version(page.key);
+    const conditions = [this.ownership(), { key: page.key, version }];
+    page.dirty = false;
+    page.urgent = false;
+    page.version = null;
+    try {
+      const result = await this.context.store.txn(conditions, [{ op: 'put', key: page.key, value }], lane);
+      if (result.kind === 'committed') page.version = result.revision;
+    } catch (error) {
+      if (error instanceof StateRefused) page.version = version; // it was not carried out
+      throw error;
+    } finally {
+      if (page.version === null || page.version === version) {
+        page.dirty = true;
+        page.urgent ||= urgent;
+      }
     }
-    this.dropSlice(slice);
+    return page.version !== null;
   }
 
   // --- what others are told ---
@@ -843,7 +909,8 @@
     return this.idle.filter((m) => usable.has(m)).length;
   }
 
-  summary(): { average: number; machines: number; cores: number; running: Record<string, number> } {
+  /** Tasks on machines, by job. */
+  running(): Record<string, number> {
     const running: Record<string, number> = {};
     for (const machine of this.machines.values()) {
       for (const attempt of machine.attempts.values()) {
@@ -851,6 +918,10 @@
         if (job !== undefined && attempt.phase === 'seen') running[job] = (running[job] ?? 0) + 1;
       }
     }
+    return running;
+  }
+
+  summary(): { average: number; machines: number; cores: number } {
     const open = this.open(this.context.clock.now());
     const cores = open.reduce((sum, machine) => sum + (machine.type?.cores ?? 0), 0);
     const load = open.reduce((sum, machine) => sum + machine.load + machine.drift, 0);
@@ -860,6 +931,6 @@
     }
     // Waits count as load, in machines' worth. A part without machines is the last to be given anything.
     const average = cores > 0 ? load / open.length + waiting / cores : NO_MACHINES;
-    return { average, machines: open.length, cores, running };
+    return { average, machines: open.length, cores };
   }
 }
--- a/src/coordination/parts.ts
+++ b/src/coordination/parts.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { PART_CACHE } from '../constants.ts';
 
 /**
  * The parts of a deployment: its zones, each divided by a hash of the machine's name where there are more
@@ -15,13 +16,22 @@
   const name = (zone: string, k: number): string => (perZone === 1 ? zone : `${zone}.${String(k)}`);
   const zoneOf = new Map<string, string>();
   for (const zone of zones) for (let k = 0; k < perZone; k++) zoneOf.set(name(zone, k), zone);
+  // Asked at every report, and a machine never changes its part.
+  const shares = new Map<string, number>();
+  const shareOf = (id: string): number => {
+    const known = shares.get(id);
+    if (known !== undefined) return known;
+    if (shares.size >= PART_CACHE) shares.clear();
+    const share = hash(id) % perZone;
+    shares.set(id, share);
+    return share;
+  };
   return {
     names: [...zoneOf.keys()],
     zoneOf: (part) => zoneOf.get(part) ?? part,
     partOf: (machine) => {
       if (!zones.includes(machine.zone)) return null;
-      const k = perZone === 1 ? 0 : hash(machine.id) % perZone;
-      return name(machine.zone, k);
+      return name(machine.zone, perZone === 1 ? 0 : shareOf(machine.id));
     },
   };
 }
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -19,45 +19,70 @@
 }
 
 /**
- * The design's choice within a part: the idle machine appended last that fits, else the lower in load
- * plus drift of two drawn at random among those with room; null where none has room.
+ * The design's choice within a part, for the tasks of one job in one round of placing: the idle machine
+ * appended last that fits, else the lower in load plus drift of two drawn at random among those with room.
+ * Machines are looked at once a round and not once a task: with hundreds of machines and thousands of
+ * waits, that is what a round costs.
  *
  * Exception (ours): a job that may use spot machines looks among those first, since other jobs cannot.
  */
-export function pick(spec: JobSpec, from: Candidates, random: Random): Machine | null {
-  if (spec.spot) {
-    const onSpot = pickAmong(spec, from, (machine) => machine.spot, random);
-    if (onSpot) return onSpot;
-    return pickAmong(spec, from, (machine) => !machine.spot, random);
+export class Chooser {
+  private readonly groups: { idle: Machine[]; roomy: Machine[] }[];
+
+  constructor(
+    private readonly spec: JobSpec,
+    from: Candidates,
+    private readonly left: (machine: Machine) => Need | null = room,
+  ) {
+    const takes = (machine: Machine): boolean => allows(spec, machine) && this.hasRoom(machine);
+    const idle = from.idle.filter(takes);
+    const roomy = from.open.filter(takes);
+    if (spec.spot) {
+      const kind = (spot: boolean): { idle: Machine[]; roomy: Machine[] } => ({
+        idle: idle.filter((m) => m.spot === spot),
+        roomy: roomy.filter((m) => m.spot === spot),
+      });
+      this.groups = [kind(true), kind(false)];
+    } else this.groups = [{ idle, roomy }];
   }
-  return pickAmong(spec, from, () => true, random);
-}
 
-function pickAmong(
-  spec: JobSpec,
-  from: Candidates,
-  kind: (machine: Machine) => boolean,
-  random: Random,
-): Machine | null {
-  const takes = (machine: Machine): boolean =>
-    kind(machine) && allows(spec, machine) && hasRoom(machine, spec);
-  const idle = from.idle.findLast(takes);
-  if (idle) return idle;
-  const roomy = from.open.filter(takes);
-  const first = draw(roomy, random);
-  const second = draw(roomy, random);
-  if (!first || !second) return first ?? second ?? null;
-  return first.load + first.drift <= second.load + second.drift ? first : second;
-}
+  /** The machine for the next task, or null where none has room; what was chosen before counts if started. */
+  next(random: Random): Machine | null {
+    for (const { idle, roomy } of this.groups) {
+      const empty = idle.pop();
+      if (empty) return empty;
+      const first = this.draw(roomy, random);
+      if (first === null) continue;
+      const second = this.draw(roomy, random);
+      if (second !== null) roomy.push(second);
+      roomy.push(first);
+      if (second === null) return first;
+      return first.load + first.drift <= second.load + second.drift ? first : second;
+    }
+    return null;
+  }
 
-/** Draws one and takes it out of the list. */
-function draw(list: Machine[], random: Random): Machine | undefined {
-  return list.length === 0 ? undefined : list.splice(random.below(list.length), 1)[0];
+  /** Draws one that still has room and takes it out of the list; those without are dropped on the way. */
+  private draw(list: Machine[], random: Random): Machine | null {
+    while (list.length > 0) {
+      const at = random.below(list.length);
+      const drawn = list[at];
+      const last = list.pop();
+      if (at < list.length && last) list[at] = last;
+      if (drawn && this.hasRoom(drawn)) return drawn;
+    }
+    return null;
+  }
+
+  private hasRoom(machine: Machine): boolean {
+    const left = this.left(machine);
+    return left !== null && fits(this.spec, left);
+  }
 }
 
-function hasRoom(machine: Machine, need: Need): boolean {
-  const left = room(machine);
-  return left !== null && fits(need, left);
+/** The choice for a single task. */
+export function pick(spec: JobSpec, from: Candidates, random: Random): Machine | null {
+  return new Chooser(spec, from).next(random);
 }
 
 export interface Eviction {
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -57,6 +57,8 @@
       /** This node cannot reach the part's machines. */
       onUnreachable: () => void;
       reachedByNone: () => boolean;
+      /** Whether a machine rented for the part's zone is the part's. */
+      belongs: (id: string) => boolean;
     },
   ) {}
 
@@ -156,8 +158,12 @@
       const result = await this.deps.cloud.rent({ type: type.name, zone: this.zone, spot, count });
       const at = this.deps.clock.now();
       const got = result.kind === 'rented' ? result.machines : [];
-      for (const id of got)
-        if (!this.booting.has(id)) this.booting.set(id, { type, spot, since: at, seenAt: at });
+      // Where a zone has several parts, a machine's name decides whose it is: the others' owners find theirs
+      // in the list. Counted here, they would stand for machines that never come.
+      for (const id of got) {
+        if (!this.deps.belongs(id) || this.booting.has(id)) continue;
+        this.booting.set(id, { type, spot, since: at, seenAt: at });
+      }
       if (got.length < count) this.noneUntil.set(`${type.name}/${String(spot)}`, at + NO_CAPACITY_MS);
       if (got.length > 0) {
         this.deps.log.info(
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -7,7 +7,7 @@
 export function serveHttp(app: Hono, address: string, signal: AbortSignal): Promise<void> {
   const colon = address.lastIndexOf(':');
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (req, res) => void listener(req, res));
-  const listener = getRequestListener((request) => app.fetch(request), { overrideGlobalObjects: false });
+  const listener = getRequestListener((request) => app.fetch(request));
   signal.addEventListener('abort', () => {
     server.close();
     server.closeAllConnections();
--- a/src/transport/pace.ts
+++ b/src/transport/pace.ts
@@ -11,7 +11,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly perSecond: number,
-    private readonly burst: number,
+    readonly burst: number,
   ) {
     this.tokens = burst;
     this.updated = clock.now();
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -43,6 +43,8 @@
   constructor(
     readonly zones: string[],
     private readonly maxCores = 0,
+    /** Controllers by the name of their zone, with a number where a zone has several. */
+    private readonly hosts = zones,
   ) {
     this.cloud = new FakeCloud(zones);
     this.cloud.onReturn = (id) => this.workers.delete(id);
@@ -52,19 +54,20 @@
 
   static readonly nodeOf = (zone: string): string => `node-${zone}`;
 
-  start(zone: string): void {
-    const name = Cluster.nodeOf(zone);
+  start(host: string): void {
+    const name = Cluster.nodeOf(host);
+    const zoneOf = (h: string): string => h.replace(/\d+$/, '');
     const abort = new AbortController();
     setMaxListeners(0, abort.signal);
-    const address = (n: string): string => `127.0.0.1:${String(9000 + this.zones.indexOf(n))}`;
+    const address = (n: string): string => `127.0.0.1:${String(9000 + this.hosts.indexOf(n))}`;
     const settings = readSettings({
       node_name: name,
-      zone,
-      listen: address(zone),
-      mesh_addr: address(zone),
-      siblings: this.zones
-        .filter((z) => z !== zone)
-        .map((z) => ({ node_name: Cluster.nodeOf(z), zone: z, peer_addr: address(z) })),
+      zone: zoneOf(host),
+      listen: address(host),
+      mesh_addr: address(host),
+      siblings: this.hosts
+        .filter((h) => h !== host)
+        .map((h) => ({ node_name: Cluster.nodeOf(h), zone: zoneOf(h), peer_addr: address(h) })),
       endpoints: { cloud: '127.0.0.1:1', state: '127.0.0.1:2' },
       deployment: {
         zones: this.zones,
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -97,6 +97,9 @@
 export class FakeState {
   readonly data = new Map<string, Stored>();
   down = false;
+  /** Work asked of the service, as its limits count it. */
+  requests = 0;
+  changes = 0;
   private revision = 1;
   private leases = new Map<number, { life: number; until: number }>();
   private history: ({ put: string; v: unknown; edizione: number } | { remove: string; edizione: number })[] =
@@ -127,6 +130,7 @@
 
   server: Server = async (method, path, body) => {
     if (this.down) return { status: 503, body: {} };
+    this.requests++;
     this.expire();
     const url = new URL(path, 'http://state');
     if (url.pathname === '/txn') return this.txn(body as never);
@@ -157,6 +161,7 @@
     when: { key: string; edizione: number }[];
     writes: { put?: string; remove?: string; v?: unknown; concessione?: number }[];
   }): Answer {
+    this.changes += t.writes.length;
     const failed = t.when
       .filter((c) => (this.data.get(c.key)?.edizione ?? 0) !== c.edizione)
       .map((c) => c.key);
@@ -215,6 +220,8 @@
   token = 0;
   session = 1;
   seq = 0;
+  /** Direct calls it got. */
+  commands = 0;
   tasks: ReportedTask[] = [];
   /** Every task ever started here, with the time. */
   readonly started: { task: string; attempt: number; at: number }[] = [];
@@ -293,6 +300,7 @@
 
   server: Server = (_method, path, body) => {
     this.checkLease();
+    this.commands++;
     if (path === '/inspect') return { status: 200, body: this.report() };
     const c = body as { mandato: number; turno: number; ordini: WireOrder[] };
     if (c.mandato < this.token || c.turno !== this.session) return { status: 409, body: this.report() };
@@ -305,11 +313,13 @@
 /** The cloud by its published protocol, with nothing to rent unless a story adds capacity. */
 export class FakeCloud {
   readonly returned: string[] = [];
+  calls = 0;
   onReturn: (id: string) => void = () => {};
 
   constructor(private readonly zones: string[]) {}
 
   server: Server = (_method, path, body) => {
+    this.calls++;
     if (path === '/catalog') {
       const type = { name: 'small', cores: 8, accelerators: 0, ram_gb: 32, local_gb: 50, pull_gb_per_s: 1 };
       return {
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -78,8 +78,8 @@
 
   it('takes a job of a hundred thousand tasks in one transaction', async () => {
     assert.equal((await c.submit('a', 'j-6', 100_000)).status, 201);
-    const slices = [...c.state.data].filter(([key]) => key.startsWith('live/slice/'));
-    const total = slices.reduce((sum, [, stored]) => sum + (stored.v as { count: number }).count, 0);
+    const { slices } = c.state.read('live/job/j-6') as { slices: { count: number }[] };
+    const total = slices.reduce((sum, slice) => sum + slice.count, 0);
     assert.equal(total, 100_000);
     await c.clock.pass(2 * REPORT_MS);
     assert.equal(c.onMachines().length, 6 * 4);
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -85,8 +85,16 @@
 describe('ownership', () => {
   it('conditions transactions on the record that made this node the owner, not on a successor’s', () => {
     let version = 5;
-    const context = { clock: new FakeClock(), replica: { version: () => version } } as unknown as PartContext;
-    const part = new Part('a', 1, context, new AbortController().signal, { machines: [], slices: [] });
+    const context = {
+      clock: new FakeClock(),
+      settings: readSettings(platform),
+      replica: { version: () => version },
+    } as unknown as PartContext;
+    const part = new Part('a', 1, context, new AbortController().signal, {
+      machines: [],
+      progress: [],
+      slices: [],
+    });
     version = 6; // another owner's record arrives while a transaction of this one is being prepared
     assert.deepEqual(part.ownership(), { key: 'live/part/a', version: 5 });
   });
