--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -54,12 +54,16 @@
   heardAt: number;
   /** When a report of it was last answered 200, by this owner or at the latest by the one before. */
   answeredAt: number;
+  /** When this owner first saw it in the cloud's list. */
+  listedAt: number | null;
   noticed: boolean;
   draining: boolean;
   returning: boolean;
   probing: boolean;
   commanding: boolean;
   nextFenceAt: number;
+  /** Tries to fence it that had no answer. */
+  fenceTries: number;
   attempts: Map<string, Attempt>;
   ended: Map<string, EndedAttempt>;
   /** Attempts with a direct launch that got no answer: forgotten, it could start again when it arrives late. */
@@ -67,6 +71,8 @@
   /** The booked share by the last report, and that of the tasks started since. */
   load: number;
   drift: number;
+  /** Images it should have, the one used last at the end, with their gigabytes. */
+  readonly images: Map<string, number>;
   emptySince: number;
   /** Since when direct questions go unanswered; infinite while they are answered. */
   deafSince: number;
@@ -90,17 +96,20 @@
     seq: 0,
     heardAt: now,
     answeredAt: now,
+    listedAt: null,
     noticed: false,
     draining: false,
     returning: false,
     probing: false,
     commanding: false,
     nextFenceAt: now,
+    fenceTries: 0,
     attempts: new Map(),
     ended: new Map(),
     unforgettable: new Set(),
     load: 0,
     drift: 0,
+    images: new Map(),
     emptySince: now,
     deafSince: Infinity,
     faults: 0,
@@ -109,6 +118,20 @@
   };
 }
 
+/** Notes that a task with the image runs on the machine, which drops those used least recently when full. */
+export function useImage(machine: Machine, image: string, gb: number): void {
+  const { images } = machine;
+  images.delete(image);
+  images.set(image, gb);
+  let sum = 0;
+  for (const size of images.values()) sum += size;
+  for (const [oldest, size] of images) {
+    if (sum <= (machine.type?.localGb ?? 0) || oldest === image) break;
+    images.delete(oldest);
+    sum -= size;
+  }
+}
+
 export interface Need {
   cores: number;
   accelerators: number;
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -54,6 +54,11 @@
 export const OWNERSHIP_TICK_MS = 200;
 /** Milliseconds each lower-ranked candidate waits longer before it takes a part over. */
 export const TAKEOVER_STEP_MS = 1500;
+/**
+ * Milliseconds for which a node that has just come up takes over its own parts only. Where all controllers
+ * end at once, the first to be back would take everything, and have no processor time for any of it.
+ */
+export const SETTLE_MS = 4000;
 /** Milliseconds a zone's own node must have been up before a part is handed back to it. */
 export const HANDBACK_AFTER_MS = 3000;
 /** Milliseconds between tries to reach a part that could not be reached. */
@@ -70,7 +75,16 @@
 /** Milliseconds a direct command may take before its outcome counts as unknown. */
 export const COMMAND_DEADLINE_MS = 1500;
 /** Milliseconds between tries to fence a machine that did not answer. */
-export const FENCE_RETRY_MS = 1000;
+export const FENCE_RETRY_MS = 200;
+/**
+ * Machines of a part asked at once to accept a new owner. Hundreds at once take a controller's processor for
+ * so long that it loses its own lease, and the parts go round; those asked late often report before.
+ */
+export const FENCE_BATCH = 25;
+/** Tries to fence a machine after which it is returned, if most of the part's machines have been fenced. */
+export const FENCE_TRIES = 2;
+/** The session that a worker begins with. */
+export const FIRST_SESSION = 1;
 /** Milliseconds a report may wait for a part that is just being taken over; workers give up after 4 s. */
 export const REPORT_HOLD_MS = 1500;
 /** Report intervals of silence after which a machine is asked directly. */
@@ -79,6 +93,8 @@
 export const LOST_REPORTS = 2.4;
 /** Share of a part's machines above which silence is laid to the owner: while others are heard, it is theirs. */
 export const SILENT_SHARE = 0.8;
+/** Milliseconds for which the machines of a part that no node reaches are kept; several times what a boot takes. */
+export const CUT_OFF_MS = 180_000;
 /** Machines that may fall silent together whatever the share; a small part loses one or two at times. */
 export const SILENT_FEW = 2;
 /** Milliseconds a machine gets no new tasks after the first task that failed on it; doubles each time. */
@@ -127,6 +143,8 @@
 // --- mesh ---
 /** Milliseconds between messages about a part when nothing notable happens. */
 export const MESH_BEAT_MS = 1000;
+/** Milliseconds without a message after which a part is given no tasks while others are heard: three beats. */
+export const SILENT_PART_MS = 3000;
 /** Load, in machines' worth. A part's average must move by this for a message of its own. */
 export const AVERAGE_STEP = 0.1;
 /** Load, in machines' worth, that a part without machines tells: above that of any other. */
@@ -145,8 +163,11 @@
 export const QUOTA_SHIFT_MS = 500;
 
 // --- HTTP ---
-/** Milliseconds an idle connection from a user or worker is kept; users poll every 5 s. */
-export const KEEP_ALIVE_MS = 120_000;
+/**
+ * Milliseconds an idle connection is kept, in either direction; users poll and workers report every few seconds.
+ * Kept longer, the connections of former owners and users add up to the sockets a controller may have.
+ */
+export const KEEP_ALIVE_MS = 20_000;
 /** Connections kept open per outside address. */
 export const CLIENT_SOCKETS = 24;
 /** Seconds a user is told to wait when the service cannot decide yet. */
@@ -166,9 +187,11 @@
 /** Milliseconds after which a rented machine that no list shows is taken for gone, beyond twice the list's lag. */
 export const UNLISTED_MS = 20_000;
 
-// --- waiting order ---
+// --- placing ---
 /** Milliseconds between two rounds of placing at least; what happens in between is placed together. */
 export const PLACE_GAP_MS = 20;
+
+// --- waiting order ---
 /** Milliseconds for which the order of the waits is kept before it is reckoned again. */
 export const ORDER_MS = 300;
 /** Ratio of the reckoned run time below which no run is expected: an aim missed even so is given up. */
--- a/src/coordination/averages.ts
+++ b/src/coordination/averages.ts
@@ -1,4 +1,6 @@
+import { NO_MACHINES, SILENT_PART_MS } from '../constants.ts';
 import type { PartMessage } from '../protocol/mesh.ts';
+import type { Clock } from '../transport/clock.ts';
 import type { Random } from '../transport/random.ts';
 
 /**
@@ -6,12 +8,15 @@
  * tasks go; nothing that must hold depends on it.
  */
 export class Averages {
-  private readonly parts = new Map<string, PartMessage & { raised: number }>();
+  private readonly parts = new Map<string, PartMessage & { raised: number; own: boolean; at: number }>();
 
-  set(message: PartMessage): void {
+  constructor(private readonly clock: Clock) {}
+
+  /** `own`: from a part of this very node. */
+  set(message: PartMessage, own: boolean): void {
     // Messages of a former owner that arrive late would undo its successor's.
     if ((this.parts.get(message.part)?.token ?? 0) > message.token) return;
-    this.parts.set(message.part, { ...message, raised: 0 });
+    this.parts.set(message.part, { ...message, raised: 0, own, at: this.clock.now() });
   }
 
   get(part: string): PartMessage | null {
@@ -23,12 +28,28 @@
   }
 
   /**
-   * The design's choice between parts: one flagged idle (each task sent uses up one of its idle machines), else the lower average of two random parts. Its
-   * average then rises by one over its machine count until its owner's next message.
+   * Parts that can do with more, if there are any. One whose owner has fallen silent has likely lost it or is
+   * cut off, and what it is given waits for a takeover; where no sibling is heard, that says nothing about any
+   * of them. One without machines is not left to chance either: of two drawn, both may have none, and a job
+   * is late by its last task.
+   */
+  private able(candidates: string[]): string[] {
+    const since = this.clock.now() - SILENT_PART_MS;
+    const fresh = candidates.filter((part) => (this.parts.get(part)?.at ?? -Infinity) >= since);
+    const heard = fresh.some((part) => this.parts.get(part)?.own === false) ? fresh : candidates;
+    const supplied = heard.filter((part) => (this.parts.get(part)?.average ?? 0) < NO_MACHINES);
+    return supplied.length > 0 ? supplied : heard;
+  }
+
+  /**
+   * The design's choice between parts: one flagged idle (each task sent uses up one of its idle machines),
+   * else the lower average of two random parts. Its average then rises by one over its machine count until
+   * its owner's next message.
    */
   choose(candidates: string[], random: Random): string {
-    const idle = candidates.filter((part) => this.parts.get(part)?.idle ?? false);
-    const among = idle.length > 0 ? idle : [...candidates];
+    const able = this.able(candidates);
+    const idle = able.filter((part) => this.parts.get(part)?.idle ?? false);
+    const among = idle.length > 0 ? idle : [...able];
     const first = take(among, random);
     const second = idle.length > 0 ? first : (take(among, random) ?? first);
     const chosen = this.average(first) <= this.average(second) ? first : second;
--- a/src/coordination/cloud-calls.ts
+++ b/src/coordination/cloud-calls.ts
@@ -19,10 +19,21 @@
     private readonly signal: AbortSignal,
     /** Of this node's incarnation, so that no request name is ever used twice. */
     private readonly requestPrefix: string,
-    limits: { rps: number; nodes: number },
+    private readonly limits: { rps: number; nodes: number },
   ) {
-    const share = (limits.rps * CLOUD_SHARE) / limits.nodes;
-    this.pace = new Pace(clock, share, Math.max(1, share * 2));
+    const { rate, burst } = this.rateFor(1 / limits.nodes);
+    this.pace = new Pace(clock, rate, burst);
+  }
+
+  private rateFor(share: number): { rate: number; burst: number } {
+    const rate = this.limits.rps * CLOUD_SHARE * share;
+    return { rate, burst: Math.max(1, rate * 2) };
+  }
+
+  /** Who owns more parts has more to ask for: the share of the limit goes by parts, and never below an even one. */
+  setShare(ofParts: number): void {
+    const { rate, burst } = this.rateFor(Math.max(ofParts, 1 / this.limits.nodes));
+    this.pace.setRate(rate, burst);
   }
 
   /** Rents under a new name, and repeats the same name for as long as no answer tells what became of it. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -85,7 +85,7 @@
   private readonly replica: Replica;
   private readonly membership: Membership;
   private readonly limits: Limits;
-  private readonly averages = new Averages();
+  private readonly averages: Averages;
   private readonly jobs: Jobs;
   private readonly cloud: CloudCalls;
   private readonly owned = new Map<string, Owned>();
@@ -104,6 +104,7 @@
     const { settings, clock, log, http, signal, random } = deps;
     const nodes = settings.siblings.length + 1;
     this.parts = partMap(settings.zones, nodes);
+    this.averages = new Averages(clock);
     const api = stateApi(http, settings.state, STATE_DEADLINE_MS, signal);
     this.store = new Store(api, clock, { rps: settings.stateRps, writeRps: settings.stateWriteRps, nodes });
     this.replica = new Replica(
@@ -226,6 +227,7 @@
     if (current && (!mine || current.part.token !== record.token)) {
       current.abort.abort();
       this.owned.delete(name);
+      this.cloud.setShare(this.owned.size / this.parts.names.length);
       this.deps.log.info({ part: name, to: record?.owner ?? null }, 'part given up');
     }
     if (!mine || this.owned.has(name)) return;
@@ -278,6 +280,7 @@
       'part owned',
     );
     part.tick();
+    this.cloud.setShare(this.owned.size / this.parts.names.length);
   }
 
   private mayAct(): boolean {
@@ -327,7 +330,8 @@
       job.guaranteed =
         sum.cores <= guarantee.cores && (accelerators === 0 || sum.accelerators <= guarantee.accelerators);
     }
-    const cores = this.averages.all().reduce((sum, part) => sum + part.cores, 0);
+    // What is coming up counts: the waits reckoned with are served by it too.
+    const cores = this.averages.all().reduce((sum, part) => sum + part.cores + part.coming, 0);
     const order = servingOrder(jobs, cores, this.deps.wallClock(), this.deps.settings);
     this.order = { at: now, jobs: order };
     return order;
@@ -365,7 +369,7 @@
     const message = decodeMesh(raw);
     switch (message?.kind) {
       case 'part':
-        return this.averages.set(message);
+        return this.averages.set(message, false);
       case 'ask':
         return void this.answerSibling(from, message);
       case 'answer': {
@@ -427,9 +431,10 @@
       idle,
       wants: Object.fromEntries(part.wants),
       running: part.running(),
+      coming: owned.renting.coming(now),
       ...summary,
     };
-    this.averages.set(message);
+    this.averages.set(message, true);
     for (const sibling of this.deps.settings.siblings) this.deps.sendToSibling(sibling.name, message);
   }
 
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -3,6 +3,7 @@
   NODE_EXTEND_MS,
   NODE_LEASE_MS,
   OWNERSHIP_TICK_MS,
+  SETTLE_MS,
   TAKEOVER_STEP_MS,
 } from '../constants.ts';
 import { nodeKey, type NodeRecord, partKey, type PartRecord } from '../bookkeeping/records.ts';
@@ -35,6 +36,7 @@
   private lease: Int | null = null;
   private readonly unreachable = new Set<string>();
   private loaded = false;
+  private loadedAt = Infinity;
 
   constructor(private readonly context: MembershipContext) {}
 
@@ -51,6 +53,7 @@
   }
 
   onCaughtUp(): void {
+    if (!this.loaded) this.loadedAt = this.context.clock.now();
     this.loaded = true;
   }
 
@@ -131,6 +134,7 @@
 
   private async watchParts(): Promise<void> {
     if (!this.loaded || this.lease === null) return;
+    const { self } = this.context;
     const now = this.context.clock.now();
     for (const part of this.context.parts.names) {
       const record = this.owners.get(part) ?? null;
@@ -141,7 +145,8 @@
       }
       const since = this.ownerlessSince.get(part) ?? now;
       this.ownerlessSince.set(part, since);
-      const rank = this.candidates(part, record === null).indexOf(this.context.self.name);
+      if (record !== null && this.home(part) !== self.name && now - this.loadedAt < SETTLE_MS) continue;
+      const rank = this.candidates(part, record === null).indexOf(self.name);
       if (rank >= 0 && now - since >= rank * TAKEOVER_STEP_MS) await this.takeOver(part, record);
     }
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -4,7 +4,9 @@
   COMMAND_DEADLINE_MS,
   FAULT_PAUSE_MS,
   FAULTS_TO_DRAIN,
+  FENCE_BATCH,
   FENCE_RETRY_MS,
+  FIRST_SESSION,
   LEASE_MARGIN_MS,
   NO_MACHINES,
   PLACE_GAP_MS,
@@ -16,7 +18,15 @@
   TASK_RETRY_MAX_MS,
   TASK_RETRY_MS,
 } from '../constants.ts';
-import { type Attempt, booked, type Machine, type Need, newMachine, room } from '../bookkeeping/machines.ts';
+import {
+  type Attempt,
+  booked,
+  type Machine,
+  type Need,
+  newMachine,
+  room,
+  useImage,
+} from '../bookkeeping/machines.ts';
 import {
   type Amounts,
   type MachineRecord,
@@ -262,6 +272,10 @@
         this.adopt(machine, key, reported.task, reported.attempt, reported.state, reported.reason);
       if (!attempt) continue;
       attempt.phase = 'seen';
+      if (attempt.slice && (reported.state === 'running' || reported.reason === 'done')) {
+        const { image, imageGb } = attempt.slice.spec;
+        if (attempt.state === 'fetching' || !machine.images.has(image)) useImage(machine, image, imageGb);
+      }
       attempt.state = reported.state;
       if (reported.reason !== null) this.end(machine, attempt, reported.reason);
     }
@@ -481,7 +495,10 @@
 
   /** `rejected` proves that nothing was executed; `unknown` proves nothing. */
   private async send(machine: Machine, orders: Order[]): Promise<'executed' | 'rejected' | 'unknown'> {
-    const body = stringifyJson(encodeCommands(this.token, machine.session, orders));
+    // Before the first report the session is a guess: most machines never leave their first. A wrong one is
+    // refused, with the report that tells the right one.
+    const session = machine.session === 0 ? FIRST_SESSION : machine.session;
+    const body = stringifyJson(encodeCommands(this.token, session, orders));
     try {
       const answer = await this.context.http({
         address: machine.endpoint,
@@ -741,10 +758,12 @@
   /** Fences, finds the end of leases, wakes pausing tasks, records machines and progress. */
   tick(): void {
     const now = this.context.clock.now();
+    let fences = this.context.mayAct() ? FENCE_BATCH : 0;
     for (const machine of this.machines.values()) {
       machine.type ??= this.context.typeOf(machine.typeName);
       if (this.leaseOver(machine, now)) this.expire(machine);
-      if (!machine.fenced && machine.recorded && now >= machine.nextFenceAt && this.context.mayAct()) {
+      if (!machine.fenced && machine.recorded && now >= machine.nextFenceAt && fences > 0) {
+        fences--;
         machine.nextFenceAt = now + FENCE_RETRY_MS + COMMAND_DEADLINE_MS;
         void this.fence(machine);
       }
@@ -783,9 +802,9 @@
   }
 
   private async fence(machine: Machine): Promise<void> {
-    // The session is unknown at first: the refusal's report tells it, and the next try is executed.
-    const first = await this.send(machine, []);
-    if (first === 'rejected' && !machine.fenced && this.active) await this.send(machine, []);
+    let answer = await this.send(machine, []);
+    if (answer === 'rejected' && !machine.fenced && this.active) answer = await this.send(machine, []);
+    if (answer === 'unknown') machine.fenceTries++;
   }
 
   /** Asks a silent machine directly; true if it answered. */
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -24,10 +24,13 @@
  * Machines are looked at once a round and not once a task: with hundreds of machines and thousands of
  * waits, that is what a round costs.
  *
- * Exception (ours): a job that may use spot machines looks among those first, since other jobs cannot.
+ * Exceptions (ours): a job that may use spot machines looks among those first, since other jobs cannot. Of
+ * the idle machines, and then of those with room, the ones that should have the job's image go first:
+ * fetching holds a task's place for seconds, often a third of its run.
  */
 export class Chooser {
-  private readonly groups: { idle: Machine[]; roomy: Machine[] }[];
+  /** In the order in which they are looked at; each drawn from as the design says. */
+  private readonly groups: { idle: Machine[]; drawn: Machine[][] }[];
 
   constructor(
     private readonly spec: JobSpec,
@@ -37,27 +40,31 @@
     const takes = (machine: Machine): boolean => allows(spec, machine) && this.hasRoom(machine);
     const idle = from.idle.filter(takes);
     const roomy = from.open.filter(takes);
-    if (spec.spot) {
-      const kind = (spot: boolean): { idle: Machine[]; roomy: Machine[] } => ({
-        idle: idle.filter((m) => m.spot === spot),
-        roomy: roomy.filter((m) => m.spot === spot),
-      });
-      this.groups = [kind(true), kind(false)];
-    } else this.groups = [{ idle, roomy }];
+    const group = (of: (machine: Machine) => boolean): { idle: Machine[]; drawn: Machine[][] } => {
+      const kind = roomy.filter(of);
+      const drawn = [kind.filter((m) => this.hasImage(m)), kind.filter((m) => !this.hasImage(m))];
+      return { idle: idle.filter(of), drawn };
+    };
+    this.groups = spec.spot ? [group((m) => m.spot), group((m) => !m.spot)] : [group(() => true)];
   }
 
   /** The machine for the next task, or null where none has room; what was chosen before counts if started. */
   next(random: Random): Machine | null {
-    for (const { idle, roomy } of this.groups) {
-      const empty = idle.pop();
-      if (empty) return empty;
-      const first = this.draw(roomy, random);
-      if (first === null) continue;
-      const second = this.draw(roomy, random);
-      if (second !== null) roomy.push(second);
-      roomy.push(first);
-      if (second === null) return first;
-      return first.load + first.drift <= second.load + second.drift ? first : second;
+    for (const { idle, drawn } of this.groups) {
+      if (idle.length > 0) {
+        const withImage = idle.findLastIndex((machine) => this.hasImage(machine));
+        const [empty] = idle.splice(withImage, 1); // the one appended last where none has it
+        if (empty) return empty;
+      }
+      for (const roomy of drawn) {
+        const first = this.draw(roomy, random);
+        if (first === null) continue;
+        const second = this.draw(roomy, random);
+        if (second !== null) roomy.push(second);
+        roomy.push(first);
+        if (second === null) return first;
+        return first.load + first.drift <= second.load + second.drift ? first : second;
+      }
     }
     return null;
   }
@@ -74,6 +81,10 @@
     return null;
   }
 
+  private hasImage(machine: Machine): boolean {
+    return machine.images.has(this.spec.image);
+  }
+
   private hasRoom(machine: Machine): boolean {
     const left = this.left(machine);
     return left !== null && fits(this.spec, left);
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -1,8 +1,9 @@
 import {
   BOOT_LATE,
   BOOT_LOST,
+  CUT_OFF_MS,
+  FENCE_TRIES,
   IDLE_RETURN_MS,
-  LEASE_MARGIN_MS,
   LOST_REPORTS,
   MUTE_MS,
   NEED_HEADROOM,
@@ -91,6 +92,7 @@
         continue;
       }
       if (known) {
+        known.listedAt ??= now;
         this.runningSince.delete(m.id);
         continue;
       }
@@ -106,6 +108,11 @@
       } else if (m.ageS > type.bootS * BOOT_LOST) this.giveBackName(m.id, 'never came up');
     }
     const lag = this.deps.settings.listLagMs * 2 + UNLISTED_MS;
+    // Once listed, a machine stays so until it is gone, but a list may be older than the one before.
+    for (const m of this.part.machines.values()) {
+      const wasListed = m.listedAt !== null && now - m.listedAt > lag;
+      if (wasListed && !present.has(m.id) && this.isSilent(m, now)) this.giveBack(m, 'unlisted');
+    }
     for (const [id, b] of this.booting) {
       if (!present.has(id) && now - Math.max(b.seenAt, b.since) > lag) this.booting.delete(id);
     }
@@ -141,12 +148,21 @@
     };
     for (const m of this.part.machines.values())
       if (!m.draining && !m.returning) add(m.type?.cores ?? 0, m.spot);
-    for (const b of this.booting.values()) {
-      if (now - b.since < b.type.bootS * 1000 * BOOT_LATE) add(b.type.cores, b.spot);
-    }
+    for (const b of this.booting.values()) if (this.isComing(b, now)) add(b.type.cores, b.spot);
     return supply;
   }
 
+  private isComing(booting: Booting, now: number): boolean {
+    return now - booting.since < booting.type.bootS * 1000 * BOOT_LATE;
+  }
+
+  /** CPUs of the machines that are coming up. */
+  coming(now: number): number {
+    let cores = 0;
+    for (const b of this.booting.values()) if (this.isComing(b, now)) cores += b.type.cores;
+    return cores;
+  }
+
   private async rent(now: number, catalog: MachineType[], want: Need): Promise<void> {
     const supply = this.supply(now);
     const choice = this.choose(now, catalog, want, supply);
@@ -187,11 +203,13 @@
     const perCore = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price) / t.cores;
     const useful = (t: MachineType, spot: boolean): boolean =>
       specs.some((s) => (s.spot || !spot) && (s.types === null || s.types.includes(t.name)) && fits(s, t));
+    // What is up soonest, and in the fewest calls: late work weighs more than the price.
     const find = (spot: boolean): MachineType | null =>
       catalog
         .filter((t) => t.zones.includes(this.zone) && useful(t, spot))
         .filter((t) => (this.noneUntil.get(`${t.name}/${String(spot)}`) ?? 0) <= now)
-        .sort((a, b) => perCore(a, spot) - perCore(b, spot) || b.cores - a.cores)[0] ?? null;
+        .sort((a, b) => a.bootS - b.bootS || b.cores - a.cores || perCore(a, spot) - perCore(b, spot))[0] ??
+      null;
     if (supply.ordinary < want.ordinary) {
       const type = find(false);
       if (type) return { type, spot: false, cores: want.ordinary - supply.ordinary };
@@ -222,24 +240,36 @@
   /**
    * A machine silent for a few reports that does not answer either is returned: that frees its tasks at
    * once. Where almost all are silent the fault is likelier here, and returning them would throw the part
-   * away: it is handed on instead. If no node reaches them, the network may still come back: they are
-   * returned only when their leases are over, and nothing is lost by it.
+   * away: it is handed on instead. Where no node reaches them, the whole part is likely cut off. Its tasks
+   * are free when the leases are over, and its machines are kept: they are back with the network, long
+   * before others could have booted. Those that are really gone leave the cloud's list.
    */
   private watchSilent(now: number): void {
-    const { reportMs, leaseMs } = this.deps.settings;
-    const silent = [...this.part.machines.values()].filter(
-      (m) => now - m.heardAt > reportMs * SILENT_REPORTS,
-    );
+    const { reportMs } = this.deps.settings;
+    const silent = [...this.part.machines.values()].filter((m) => this.isSilent(m, now));
     const lost = silent.filter((m) => now - m.heardAt > reportMs * LOST_REPORTS && now >= m.deafSince);
     const cut = silent.length > Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
     if (cut && lost.length * 2 > silent.length) this.deps.onUnreachable();
-    const gone = cut ? lost.filter((m) => now - m.heardAt > leaseMs + LEASE_MARGIN_MS) : lost;
+    const gone = cut ? lost.filter((m) => now - m.heardAt > CUT_OFF_MS) : lost;
     if (!cut || this.deps.reachedByNone()) {
       for (const m of gone) this.giveBack(m, m.noticed ? 'taken' : 'silent');
     }
+    // While a machine may hold any task, all that is unaccounted for waits for it: after a takeover one that
+    // does not answer when the others do is not given the time that a silent machine has otherwise.
+    const fenced = [...this.part.machines.values()].filter((m) => m.fenced).length;
+    if (fenced * 2 > this.part.machines.size) {
+      for (const m of this.part.machines.values()) {
+        if (m.suspect && !m.fenced && m.fenceTries >= FENCE_TRIES && !m.returning)
+          this.giveBack(m, 'not fenced');
+      }
+    }
     for (const m of silent) if (!m.probing && !m.returning) void this.probe(m);
   }
 
+  private isSilent(machine: Machine, now: number): boolean {
+    return now - machine.heardAt > this.deps.settings.reportMs * SILENT_REPORTS;
+  }
+
   private async probe(machine: Machine): Promise<void> {
     const answered = await this.part.probe(machine);
     machine.deafSince = answered ? Infinity : Math.min(machine.deafSince, this.deps.clock.now());
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -8,6 +8,8 @@
   cores: number;
   accelerators: number;
   ramGb: number;
+  /** Room for images. */
+  localGb: number;
   price: number;
   spotPrice: number;
   bootS: number;
@@ -33,6 +35,7 @@
       cores: z.number(),
       accelerators: z.nullish(z.number()),
       ram_gb: z.number(),
+      local_gb: z.nullish(z.number()),
       rate: z.number(),
       low_price: z.nullish(z.number()),
       ready_s: z.number(),
@@ -103,6 +106,7 @@
         cores: m.cores,
         accelerators: m.accelerators ?? 0,
         ramGb: m.ram_gb,
+        localGb: m.local_gb ?? 0,
         price: m.rate,
         spotPrice: m.low_price ?? m.rate,
         bootS: m.ready_s,
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -13,6 +13,8 @@
     machines: z.number(),
     /** CPUs of the machines that may take tasks. */
     cores: z.number(),
+    /** CPUs of the machines that are coming up. */
+    coming: z.number(),
     /** Tasks on machines, by job, for display. */
     running: z.record(z.string(), z.number()),
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,5 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http';
-import { CLIENT_SOCKETS } from '../constants.ts';
+import { CLIENT_SOCKETS, KEEP_ALIVE_MS } from '../constants.ts';
 
 export interface HttpResponse {
   status: number;
@@ -22,7 +22,12 @@
 
 /** A client that keeps connections open and gives every call a deadline for its whole answer. */
 export function httpClient(): HttpClient {
-  const agent = new Agent({ keepAlive: true, maxSockets: CLIENT_SOCKETS, scheduling: 'lifo' });
+  const agent = new Agent({
+    keepAlive: true,
+    maxSockets: CLIENT_SOCKETS,
+    scheduling: 'lifo',
+    timeout: KEEP_ALIVE_MS, // ends a connection that lies idle; calls have deadlines of their own
+  });
   return (call) =>
     new Promise((resolve, reject) => {
       // Before a request exists: one destroyed without a listener for its error would end the process.
--- a/src/transport/pace.ts
+++ b/src/transport/pace.ts
@@ -10,8 +10,8 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
-    readonly burst: number,
+    private perSecond: number,
+    public burst: number,
   ) {
     this.tokens = burst;
     this.updated = clock.now();
@@ -27,6 +27,13 @@
     return this.tokens >= needed ? 0 : Math.ceil(((needed - this.tokens) / this.perSecond) * 1000);
   }
 
+  /** From now on another rate holds; what has been saved up stays. */
+  setRate(perSecond: number, burst: number): void {
+    this.wait(0);
+    this.perSecond = perSecond;
+    this.burst = burst;
+  }
+
   take(cost: number): void {
     this.tokens -= cost;
   }
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -66,9 +66,15 @@
     for (const host of hosts) c.crash(host);
     await c.clock.pass(6000);
     const before = { changes: c.state.changes, commands: commands() };
-    for (const host of hosts) c.start(host);
-    await c.clock.pass(4000);
+    // They are back one after the other: the first must not take all parts and hand them round again.
+    for (const host of hosts) {
+      c.start(host);
+      await c.clock.pass(500);
+    }
+    await c.clock.pass(2000);
     assert.equal(hosts.flatMap((host) => c.owned(host)).length, 6);
+    const records = [...c.state.data].filter(([key]) => key.startsWith('live/part/'));
+    for (const [key, { v }] of records) assert.equal((v as { token: number }).token, 2, key);
     // New work goes on at once: it cannot be on the machine that does not answer.
     assert.equal((await c.submit('b', 'j-90', 60)).status, 201);
     await c.clock.pass(REPORT_MS);
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -269,7 +269,7 @@
     for (let i = 0; i < 12; i++) assert.equal(startsOf(`j-60/${String(i)}`), 1);
   });
 
-  it('returns no machine while none is reached by anybody and their leases may still run', async () => {
+  it('keeps the machines of a part that nobody reaches, and has them at work again when they are back', async () => {
     c = await cluster();
     c.addWorker('b3', 'b');
     await c.clock.pass(2 * REPORT_MS);
@@ -277,12 +277,15 @@
       c.mute.add(id);
       for (const zone of zones) c.fault(zone, `worker-${id}:1`, 'silent');
     }
-    await c.clock.pass(LEASE_MS - REPORT_MS);
+    await c.submit('a', 'j-62', 4, { sede: 'b' });
+    // Longer than every lease that could run.
+    await c.clock.pass(CANCEL_MS + LEASE_MS);
     assert.deepEqual(c.cloud.returned, []);
     for (const id of ['b1', 'b2', 'b3']) c.mute.delete(id);
     for (const zone of zones) for (const id of ['b1', 'b2', 'b3']) c.fault(zone, `worker-${id}:1`, 'none');
-    await c.clock.pass(LEASE_MS);
+    await c.clock.pass(4 * REPORT_MS);
     assert.deepEqual(c.cloud.returned, []);
+    assert.equal(c.onMachines().length, 4);
   });
 
   it('returns the silent machines of a part at once while others of it are heard', async () => {
@@ -298,6 +301,23 @@
     assert.deepEqual(c.owned('b'), ['b']);
   });
 
+  it('does not let one machine that is gone hold up a part that was taken over', async () => {
+    c = await cluster();
+    for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-61', 20, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 16, 'four tasks wait');
+    // While b1 may hold any task, none of the four can be told from those on it.
+    c.mute.add('b1');
+    for (const zone of zones) c.fault(zone, 'worker-b1:1', 'silent');
+    c.crash('b');
+    for (const w of c.workers.values()) if (w.id !== 'b1') for (const t of w.running()) w.finish(t);
+    await c.clock.pass(9000);
+    assert.deepEqual(c.cloud.returned, ['b1']);
+    assert.equal(c.onMachines().length, 8, 'those that waited and those that were on it');
+  });
+
   it('lets a stale owner’s late transaction fail', async () => {
     c = await cluster();
     await c.submit('a', 'j-33', 2, { sede: 'b' });
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { type Machine, newMachine } from '../src/bookkeeping/machines.ts';
+import { NO_MACHINES } from '../src/constants.ts';
+import { type Machine, newMachine, useImage } from '../src/bookkeeping/machines.ts';
 import { sliceCapacity } from '../src/bookkeeping/records.ts';
 import { TaskSet } from '../src/bookkeeping/task-set.ts';
 import { Averages } from '../src/coordination/averages.ts';
@@ -24,6 +25,7 @@
   cores: 8,
   accelerators: 0,
   ramGb: 32,
+  localGb: 10,
   price: 1,
   spotPrice: 1,
   bootS: 30,
@@ -65,6 +67,21 @@
     assert.equal(chosen, last);
   });
 
+  it('takes machines that have the image before others, idle ones first all the same', () => {
+    const [has, last] = [machine('m1'), machine('m2')];
+    useImage(has, 'img', 4);
+    assert.equal(pick(spec(), { open: [has, last], idle: [has, last] }, random), has);
+    assert.equal(pick(spec(), { open: [has, last], idle: [last] }, random), last);
+    assert.equal(pick(spec({ stampo: 'x' }), { open: [has, last], idle: [has, last] }, random), last);
+    has.load = 0.5;
+    assert.equal(pick(spec(), { open: [has, last], idle: [] }, random), has);
+    // Ten gigabytes are kept, the least recently used go.
+    useImage(has, 'x', 4);
+    useImage(has, 'img', 4);
+    useImage(has, 'y', 4);
+    assert.deepEqual([...has.images.keys()], ['img', 'y']);
+  });
+
   it('compares two random machines by load plus drift when none is idle', () => {
     const busy = machine('m1', 0.5, 0.25);
     const lower = machine('m2', 0.6, 0.0);
@@ -152,34 +169,63 @@
     average,
     machines: 2,
     cores: 16,
+    coming: 0,
     running: {},
     wants: {},
   });
 
   it('prefers a part flagged idle until its idle machines are used up, then the lower average', () => {
-    const averages = new Averages();
-    averages.set(told('a', 0, 0.2));
-    averages.set(told('b', 2, 0.9));
+    const averages = new Averages(new FakeClock());
+    averages.set(told('a', 0, 0.2), false);
+    averages.set(told('b', 2, 0.9), false);
     const random = seededRandom(1);
     const choices = [1, 2, 3].map(() => averages.choose(['a', 'b'], random));
     assert.deepEqual(choices, ['b', 'b', 'a']);
   });
 
   it('raises a chosen part by one over its machines until its owner’s next message', () => {
-    const averages = new Averages();
-    averages.set(told('a', 0, 0.2));
-    averages.set(told('b', 0, 0.9));
+    const averages = new Averages(new FakeClock());
+    averages.set(told('a', 0, 0.2), false);
+    averages.set(told('b', 0, 0.9), false);
     const random = seededRandom(1);
     const choices = [1, 2, 3, 4].map(() => averages.choose(['a', 'b'], random));
     assert.deepEqual(choices, ['a', 'a', 'b', 'a']);
-    averages.set(told('a', 0, 0.2));
+    averages.set(told('a', 0, 0.2), false);
     assert.equal(averages.choose(['a', 'b'], random), 'a');
   });
 
+  it('gives nothing to a part that has fallen silent, unless no sibling is heard at all', async () => {
+    const clock = new FakeClock();
+    const averages = new Averages(clock);
+    const random = seededRandom(1);
+    averages.set(told('a', 50, 0), false);
+    await clock.pass(4000);
+    averages.set(told('b', 0, 0.9), false);
+    averages.set(told('c', 0, 0.9), true);
+    for (let i = 0; i < 10; i++) assert.notEqual(averages.choose(['a', 'b', 'c'], random), 'a');
+    await clock.pass(4000);
+    averages.set(told('c', 0, 0.9), true);
+    assert.equal(
+      averages.choose(['a', 'b', 'c'], random),
+      'a',
+      'the siblings’ connections are gone, not the siblings',
+    );
+  });
+
+  it('gives nothing to parts without machines while any other has some', () => {
+    const averages = new Averages(new FakeClock());
+    averages.set(told('a', 0, NO_MACHINES), false);
+    averages.set(told('b', 0, NO_MACHINES), false);
+    averages.set(told('c', 0, 5), false);
+    const random = seededRandom(1);
+    for (let i = 0; i < 20; i++) assert.equal(averages.choose(['a', 'b', 'c'], random), 'c');
+    assert.notEqual(averages.choose(['a', 'b'], random), 'c');
+  });
+
   it('ignores a former owner’s late message', () => {
-    const averages = new Averages();
-    averages.set(told('a', 0, 0.2, 5));
-    averages.set(told('a', 3, 0.0, 4));
+    const averages = new Averages(new FakeClock());
+    averages.set(told('a', 0, 0.2, 5), false);
+    averages.set(told('a', 3, 0.0, 4), false);
     assert.equal(averages.get('a')?.idle, 0);
   });
 });
