--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -60,6 +60,7 @@
   draining: boolean;
   returning: boolean;
   probing: boolean;
+  probedAt: number;
   commanding: boolean;
   nextFenceAt: number;
   /** Tries to fence it that had no answer. */
@@ -101,6 +102,7 @@
     draining: false,
     returning: false,
     probing: false,
+    probedAt: -Infinity,
     commanding: false,
     nextFenceAt: now,
     fenceTries: 0,
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -59,6 +59,11 @@
  * end at once, the first to be back would take everything, and have no processor time for any of it.
  */
 export const SETTLE_MS = 4000;
+/**
+ * Milliseconds that a node which is still asking the machines of one part waits before it takes another that is
+ * not its own: a node that ended is often back by then, and one that takes all at once serves none of them.
+ */
+export const BUSY_MS = 4000;
 /** Milliseconds a zone's own node must have been up before a part is handed back to it. */
 export const HANDBACK_AFTER_MS = 3000;
 /** Milliseconds between tries to reach a part that could not be reached. */
@@ -74,13 +79,15 @@
 // --- workers ---
 /** Milliseconds a direct command may take before its outcome counts as unknown. */
 export const COMMAND_DEADLINE_MS = 1500;
-/** Milliseconds between tries to fence a machine that did not answer. */
+/** Milliseconds between tries to fence a machine that did not answer; doubles each time. */
 export const FENCE_RETRY_MS = 200;
+/** Milliseconds. The longest pause between such tries: a part that is cut off must not keep its owner busy. */
+export const FENCE_RETRY_MAX_MS = 5000;
 /**
  * Machines of a part asked at once to accept a new owner. Hundreds at once take a controller's processor for
  * so long that it loses its own lease, and the parts go round; those asked late often report before.
  */
-export const FENCE_BATCH = 25;
+export const FENCE_BATCH = 12;
 /** Tries to fence a machine after which it is returned, if most of the part's machines have been fenced. */
 export const FENCE_TRIES = 2;
 /** The session that a worker begins with. */
@@ -95,6 +102,8 @@
 export const SILENT_SHARE = 0.8;
 /** Milliseconds for which the machines of a part that no node reaches are kept; several times what a boot takes. */
 export const CUT_OFF_MS = 180_000;
+/** Silent machines of a part asked at once; of a part that is cut off there are hundreds, and each call hangs. */
+export const PROBE_BATCH = 20;
 /** Machines that may fall silent together whatever the share; a small part loses one or two at times. */
 export const SILENT_FEW = 2;
 /** Milliseconds a machine gets no new tasks after the first task that failed on it; doubles each time. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -4,6 +4,7 @@
   CLOUD_DEADLINE_MS,
   CLOCK_DRIFT,
   COMMAND_DEADLINE_MS,
+  FENCE_BATCH,
   FINISH_STEP_MS,
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
@@ -125,6 +126,7 @@
       store: this.store,
       replica: this.replica,
       parts: this.parts,
+      busy: () => [...this.owned.values()].some(({ part }) => part.unfenced > FENCE_BATCH),
     });
     this.limits = new Limits(settings.teams, this.parts.names);
     this.cloud = new CloudCalls(
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -1,4 +1,5 @@
 import {
+  BUSY_MS,
   HANDBACK_AFTER_MS,
   NODE_EXTEND_MS,
   NODE_LEASE_MS,
@@ -23,6 +24,8 @@
   store: Store;
   replica: Replica;
   parts: PartMap;
+  /** Whether many machines of parts just taken over are still to be asked to accept this node. */
+  busy: () => boolean;
 }
 
 /**
@@ -147,7 +150,9 @@
       this.ownerlessSince.set(part, since);
       if (record !== null && this.home(part) !== self.name && now - this.loadedAt < SETTLE_MS) continue;
       const rank = this.candidates(part, record === null).indexOf(self.name);
-      if (rank >= 0 && now - since >= rank * TAKEOVER_STEP_MS) await this.takeOver(part, record);
+      const wait =
+        rank * TAKEOVER_STEP_MS + (this.context.busy() && this.home(part) !== self.name ? BUSY_MS : 0);
+      if (rank >= 0 && now - since >= wait) await this.takeOver(part, record);
     }
   }
 
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -5,6 +5,7 @@
   FAULT_PAUSE_MS,
   FAULTS_TO_DRAIN,
   FENCE_BATCH,
+  FENCE_RETRY_MAX_MS,
   FENCE_RETRY_MS,
   FIRST_SESSION,
   LEASE_MARGIN_MS,
@@ -764,7 +765,8 @@
       if (this.leaseOver(machine, now)) this.expire(machine);
       if (!machine.fenced && machine.recorded && now >= machine.nextFenceAt && fences > 0) {
         fences--;
-        machine.nextFenceAt = now + FENCE_RETRY_MS + COMMAND_DEADLINE_MS;
+        const pause = Math.min(FENCE_RETRY_MS * 2 ** Math.min(machine.fenceTries, 10), FENCE_RETRY_MAX_MS);
+        machine.nextFenceAt = now + pause + COMMAND_DEADLINE_MS;
         void this.fence(machine);
       }
       if (machine.pausedUntil > 0 && machine.pausedUntil <= now) this.schedulePlacing();
@@ -923,6 +925,13 @@
 
   // --- what others are told ---
 
+  /** Machines of the owner before that have not accepted this one yet. */
+  get unfenced(): number {
+    let count = 0;
+    for (const machine of this.machines.values()) if (machine.suspect) count++;
+    return count;
+  }
+
   get idleCount(): number {
     const usable = new Set(this.open(this.context.clock.now()));
     return this.idle.filter((m) => usable.has(m)).length;
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -9,6 +9,7 @@
   NEED_HEADROOM,
   NEED_WINDOW_MS,
   NO_CAPACITY_MS,
+  PROBE_BATCH,
   RENT_BATCH,
   RETURN_BATCH,
   SILENT_FEW,
@@ -263,7 +264,8 @@
           this.giveBack(m, 'not fenced');
       }
     }
-    for (const m of silent) if (!m.probing && !m.returning) void this.probe(m);
+    const asked = silent.filter((m) => !m.probing && !m.returning).sort((a, b) => a.probedAt - b.probedAt);
+    for (const m of asked.slice(0, PROBE_BATCH)) void this.probe(m);
   }
 
   private isSilent(machine: Machine, now: number): boolean {
@@ -271,6 +273,7 @@
   }
 
   private async probe(machine: Machine): Promise<void> {
+    machine.probedAt = this.deps.clock.now();
     const answered = await this.part.probe(machine);
     machine.deafSince = answered ? Infinity : Math.min(machine.deafSince, this.deps.clock.now());
   }
--- a/src/coordination/waiting.ts
+++ b/src/coordination/waiting.ts
@@ -47,8 +47,9 @@
 
 /**
  * The order in which jobs' waits are served: priority, then within the team's guarantee, then so that the
- * most jobs meet an aim. The last is the rule of Moore and Hodgson: by due time, and whenever one would be
- * late, the job with the most work is put off; those put off are tried for their next aim, and what can
+ * most jobs meet an aim. The last is the rule of Moore and Hodgson, by the time at which a job must have
+ * started (machines work side by side, so a long run must start sooner than a short one due at the same
+ * time): whenever one would be late, the job with the most work is put off; those put off are tried for their next aim, and what can
  * meet none comes last, least work first.
  *
  * Exception (ours) to the design's arrival order: in a backlog, arrival order makes all jobs late alike.
@@ -112,7 +113,7 @@
   let at = from;
   for (const p of plans
     .filter((each) => each.due.length > 0)
-    .sort((a, b) => (a.due[0] ?? 0) - (b.due[0] ?? 0))) {
+    .sort((a, b) => (a.due[0] ?? 0) - a.runMs - ((b.due[0] ?? 0) - b.runMs))) {
     kept.push(p);
     const end = Math.max(at + p.runMs * HOPEFUL_RUN, at + p.workMs);
     at += p.workMs;
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -155,6 +155,12 @@
     assert.deepEqual(order([large, ...small], 40_000, 800)[0], 'j-1', 'with more machines all are in time');
   });
 
+  it('serves a long run before a short one that is due at the same time', () => {
+    const short = waits('j-1', 0, { pratiche: 2, stima_s: 10 });
+    const long = waits('j-2', 1000, { pratiche: 2, stima_s: 50 });
+    assert.deepEqual(order([short, long], 2000, 800), ['j-2', 'j-1']);
+  });
+
   it('lets no job starve', () => {
     assert.deepEqual(order([waits('j-2', 899_000), waits('j-1', 0)], 901_000), ['j-1', 'j-2']);
   });
