--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -61,7 +61,7 @@
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
-import { Chooser, evict } from './placement.ts';
+import { Chooser, evict, Refusals } from './placement.ts';
 import { latestStart } from './waiting.ts';
 
 export interface PartContext {
@@ -556,10 +556,11 @@
   /** Slices with waiting tasks, in the order in which they are served. */
   private queue(): Slice[] {
     const order = this.context.servingOrder();
-    const place = (slice: Slice): number => order.get(slice.spec.id) ?? order.size;
-    return [...this.slices.values()]
-      .filter((slice) => slice.waiting.length > 0)
-      .sort((a, b) => place(a) - place(b) || a.at - b.at);
+    const waits: { slice: Slice; place: number }[] = [];
+    for (const slice of this.slices.values()) {
+      if (slice.waiting.length > 0) waits.push({ slice, place: order.get(slice.spec.id) ?? order.size });
+    }
+    return waits.sort((a, b) => a.place - b.place || a.slice.at - b.slice.at).map((wait) => wait.slice);
   }
 
   /** Gives waiting tasks machines. `answering`: the machine whose report is being answered with its orders. */
@@ -576,6 +577,7 @@
     const used = this.usages();
     const touched = new Set<Machine>();
     const claimed = new Map<Machine, Need>();
+    const refusals = new Refusals();
     const preempting = this.mayPreempt;
     this.mayPreempt = false;
     for (const slice of queue) {
@@ -584,6 +586,10 @@
       let unplaced = 0;
       while (slice.waiting.length > 0) {
         if (!this.withinLimit(slice, used)) break;
+        if (chooser === null && refusals.cover(spec)) {
+          unplaced = slice.waiting.length;
+          break;
+        }
         chooser ??= new Chooser(
           spec,
           { open: roomy, idle: this.idle.filter((m) => left.has(m)) },
@@ -592,6 +598,7 @@
         const machine = chooser.next(this.context.random);
         const position = machine ? slice.waiting.pop() : undefined;
         if (!machine || position === undefined) {
+          refusals.add(spec);
           unplaced = slice.waiting.length;
           break;
         }
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -91,6 +91,24 @@
   }
 }
 
+/**
+ * What found no room in a round of placing. Room only shrinks within one, so a job that needs as much of the
+ * same machines need not look again: in a long backlog that is almost every job, at every report.
+ */
+export class Refusals {
+  private readonly refused: JobSpec[] = [];
+
+  add(spec: JobSpec): void {
+    this.refused.push(spec);
+  }
+
+  cover(spec: JobSpec): boolean {
+    return this.refused.some(
+      (r) => r.spot === spec.spot && r.zone === spec.zone && r.types === spec.types && fits(r, spec),
+    );
+  }
+}
+
 /** The choice for a single task. */
 export function pick(spec: JobSpec, from: Candidates, random: Random): Machine | null {
   return new Chooser(spec, from).next(random);
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -7,7 +7,7 @@
 import { Averages } from '../src/coordination/averages.ts';
 import { Part, type PartContext } from '../src/coordination/part.ts';
 import { partMap } from '../src/coordination/parts.ts';
-import { pick } from '../src/coordination/placement.ts';
+import { pick, Refusals } from '../src/coordination/placement.ts';
 import { readOperatorSettings } from '../src/operator-settings.ts';
 import { parseJson, stringifyJson } from '../src/protocol/json.ts';
 import type { PartMessage } from '../src/protocol/mesh.ts';
@@ -82,6 +82,17 @@
     assert.deepEqual([...has.images.keys()], ['img', 'y']);
   });
 
+  it('looks once a round for what finds no room, and again for what needs less or other machines', () => {
+    const refusals = new Refusals();
+    refusals.add(spec({ cores: 4, ram_gb: 8 }));
+    assert.ok(refusals.cover(spec({ cores: 4, ram_gb: 8 })));
+    assert.ok(refusals.cover(spec({ cores: 6, ram_gb: 9 })));
+    assert.ok(!refusals.cover(spec({ cores: 4, ram_gb: 7 })));
+    assert.ok(!refusals.cover(spec({ cores: 2, ram_gb: 9 })));
+    assert.ok(!refusals.cover(spec({ cores: 6, ram_gb: 9, prestiti: true })), 'spot machines too');
+    assert.ok(!refusals.cover(spec({ cores: 6, ram_gb: 9, modelli: ['small'] })));
+  });
+
   it('compares two random machines by load plus drift when none is idle', () => {
     const busy = machine('m1', 0.5, 0.25);
     const lower = machine('m2', 0.6, 0.0);
