--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -33,6 +33,7 @@
   /** The slice that must have recorded the result before the worker may forget it. */
   slice: Slice | null;
   position: number;
+  at: number;
 }
 
 export interface Machine {
--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -105,6 +105,8 @@
   /** When the request was sent whose answer last proved contact; minus infinity before the first. */
   provenAt = -Infinity;
   private revision: Int = 0;
+  /** Who waits for a proof of contact sent after they began to wait. */
+  private readonly waiting = new Set<{ since: number; wake: () => void }>();
 
   constructor(
     private readonly store: Store,
@@ -119,6 +121,20 @@
     return this.entries.get(key)?.version ?? 0;
   }
 
+  /**
+   * True once an answer is in whose request was sent from now on: this copy then has all that was committed
+   * before the call. False if none comes in time. One follow serves all that wait, instead of a read for each.
+   */
+  async provenWithin(ms: number): Promise<boolean> {
+    const since = this.clock.now();
+    const end = new AbortController();
+    const entry = { since, wake: () => end.abort() };
+    this.waiting.add(entry);
+    await this.clock.sleep(ms, end.signal);
+    this.waiting.delete(entry);
+    return this.provenAt >= since;
+  }
+
   /** Reads everything, then follows, until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     let loaded = false;
@@ -129,6 +145,7 @@
         else await this.load(began);
         loaded = true;
         this.onCaughtUp();
+        for (const { since, wake } of this.waiting) if (began >= since) wake();
         const spent = this.clock.now() - began;
         const gap = this.store.followGapMs - spent;
         if (gap > 0) await this.clock.sleep(gap, signal);
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -92,6 +92,13 @@
 export const FENCE_TRIES = 2;
 /** The session that a worker begins with. */
 export const FIRST_SESSION = 1;
+/**
+ * Milliseconds for which the order to forget a finished task waits for another order to travel with: carried out
+ * alone, it is a change that the machine reports by itself, a report more for every task.
+ */
+export const FORGET_MS = 20_000;
+/** Finished tasks of a machine that are forgotten at once: each one makes every report of it longer. */
+export const FORGET_MOST = 12;
 /** Milliseconds a report may wait for a part that is just being taken over; workers give up after 4 s. */
 export const REPORT_HOLD_MS = 1500;
 /** Report intervals of silence after which a machine is asked directly. */
@@ -187,6 +194,11 @@
 export const FINAL_CACHE = 20_000;
 /** Milliseconds without proof of contact after which a sibling is asked before the state service. */
 export const CONTACT_STALE_MS = 3000;
+/**
+ * Milliseconds a poll waits for the follow that serves it before it is read by itself; users wait 2 s. A follow
+ * in a stream of changes is back within 0.2 s.
+ */
+export const POLL_WAIT_MS = 400;
 /** Groups in which the tasks of a very large job are shared out, so that it does not hold the process up. */
 export const SHARING_GROUPS = 1000;
 /** Tries of a withdrawal against a job that ends at the same time. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -147,6 +147,7 @@
       averages: this.averages,
       parts: this.parts,
       catalog: () => this.types,
+      openSpec: (job) => this.openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => this.progress(job),
       passOn: (op, body) => this.passOn(op, body),
     });
--- a/src/coordination/jobs.ts
+++ b/src/coordination/jobs.ts
@@ -1,4 +1,4 @@
-import { CONTACT_STALE_MS, FINAL_CACHE, SHARING_GROUPS, WITHDRAW_TRIES } from '../constants.ts';
+import { CONTACT_STALE_MS, FINAL_CACHE, POLL_WAIT_MS, SHARING_GROUPS, WITHDRAW_TRIES } from '../constants.ts';
 import { fits } from '../bookkeeping/machines.ts';
 import {
   jobKey,
@@ -40,13 +40,18 @@
   averages: Averages;
   parts: PartMap;
   catalog: () => MachineType[] | null;
+  /** What the replica has of a job that is not over. */
+  openSpec: (job: string) => JobSpec | null;
   /** Tasks left of the job and tasks on machines, as far as known here. */
   progress: (job: string) => { left: number; running: number };
   /** Asks a sibling that may reach the state service; null if none answered. */
   passOn: (op: UserOp, body: JobSpec | string) => Promise<UserAnswer | null>;
 }
 
-/** What users ask. Only a read made for the request may say that a job is not over. */
+/**
+ * What users ask. That a job is not over is only said from a read made for the request, or from the replica
+ * once a follow sent after the request has answered.
+ */
 export class Jobs {
   private readonly over = new Map<string, 'done' | 'cancelled'>();
 
@@ -130,6 +135,12 @@
   }
 
   private async statusHere(id: string): Promise<UserAnswer> {
+    // A poll for a job that is open, as most are, needs no read of its own.
+    const { replica } = this.context;
+    if (replica.version(openJobKey(id)) !== 0 && (await replica.provenWithin(POLL_WAIT_MS))) {
+      const spec = this.context.openSpec(id);
+      if (spec) return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks: spec.tasks })) };
+    }
     const found = await this.read(id);
     return found ? { status: 200, body: encodeView(this.view(id, found.job)) } : answers.notFound;
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -8,6 +8,8 @@
   FENCE_RETRY_MAX_MS,
   FENCE_RETRY_MS,
   FIRST_SESSION,
+  FORGET_MOST,
+  FORGET_MS,
   LEASE_MARGIN_MS,
   NO_MACHINES,
   PLACE_GAP_MS,
@@ -348,7 +350,8 @@
     if (reason !== null) {
       // Its result counts wherever it was reached.
       if (slice && reason === 'done') this.settle(slice, position);
-      machine.ended.set(key, { task, number, reason, slice: reason === 'done' ? slice : null, position });
+      const at = this.context.clock.now();
+      machine.ended.set(key, { task, number, reason, slice: reason === 'done' ? slice : null, position, at });
       return null;
     }
     const attempt: Attempt = {
@@ -390,6 +393,7 @@
       reason,
       slice: reason === 'done' ? slice : null,
       position,
+      at: now,
     });
     if (!slice || slice.withdrawn) return;
     if (reason === 'done') {
@@ -460,14 +464,24 @@
         }
       }
     }
-    if (way === 'direct') return orders;
+    if (way === 'report') orders.push(...this.forgets(machine, orders.length > 0));
+    return orders;
+  }
+
+  /** Which ended tasks the machine is told to forget: those whose results are recorded, several together. */
+  private forgets(machine: Machine, accompanied: boolean): Order[] {
+    const longAgo = this.context.clock.now() - FORGET_MS;
+    let due = accompanied || machine.draining || machine.ended.size > FORGET_MOST;
+    const orders: Order[] = [];
     for (const [key, ended] of machine.ended) {
       if (machine.unforgettable.has(key)) continue;
       const { slice, position } = ended;
       if (slice && !slice.withdrawn && !slice.recorded.has(position)) continue;
       orders.push({ op: 'forget', task: ended.task, attempt: ended.number });
+      // A task that ended without a result may soon be started again, on this machine too.
+      if (ended.reason !== 'done' || ended.at <= longAgo) due = true;
     }
-    return orders;
+    return due ? orders : [];
   }
 
   /** Sends what is due straight to the machine, one call at a time. */
