--- a/src/constants.ts
+++ b/src/constants.ts
@@ -63,9 +63,15 @@
  * Milliseconds that a node which is still asking the machines of one part waits before it takes another that is
  * not its own: a node that ended is often back by then, and one that takes all at once serves none of them.
  */
-export const BUSY_MS = 4000;
+export const BUSY_MS = 10_000;
 /** Milliseconds a zone's own node must have been up before a part is handed back to it. */
 export const HANDBACK_AFTER_MS = 3000;
+/** Milliseconds between looks at whether this process is late. */
+export const LATENESS_LOOK_MS = 100;
+/** Milliseconds after its time at which a timer counts as late: several such waits stay within a call's deadline. */
+export const LATE_MS = 250;
+/** Milliseconds without lateness after which a node has processor time for more than what reaches it. */
+export const IN_TIME_MS = 500;
 /** Milliseconds between tries to reach a part that could not be reached. */
 export const REACH_MS = 2000;
 /** Machines asked in such a try. */
@@ -84,10 +90,13 @@
 /** Milliseconds. The longest pause between such tries: a part that is cut off must not keep its owner busy. */
 export const FENCE_RETRY_MAX_MS = 5000;
 /**
- * Machines of a part asked at once to accept a new owner. Hundreds at once take a controller's processor for
+ * Machines that a node asks to accept it as their new owner, for each second of processor time it has: at about
+ * a millisecond each (a connection, a call, a report), that is half of its time. Hundreds at once take it for
  * so long that it loses its own lease, and the parts go round; those asked late often report before.
  */
-export const FENCE_BATCH = 12;
+export const FENCES_PER_CPU_S = 500;
+/** Machines not fenced yet up to which a part counts as taken over: a few that are gone must not hold others up. */
+export const FEW_UNFENCED = 12;
 /** Tries to fence a machine after which it is returned, if most of the part's machines have been fenced. */
 export const FENCE_TRIES = 2;
 /** The session that a worker begins with. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -4,7 +4,9 @@
   CLOUD_DEADLINE_MS,
   CLOCK_DRIFT,
   COMMAND_DEADLINE_MS,
-  FENCE_BATCH,
+  FENCES_PER_CPU_S,
+  FEW_UNFENCED,
+  IN_TIME_MS,
   FINISH_STEP_MS,
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
@@ -42,6 +44,7 @@
 import { type Report, workerPaths } from '../protocol/workers.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
+import { Lateness } from '../transport/lateness.ts';
 import type { HttpClient } from '../transport/http-client.ts';
 import type { Random } from '../transport/random.ts';
 import { type Log, routine } from '../transport/routine.ts';
@@ -96,6 +99,9 @@
   private finishing = false;
   private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
   private readonly proofMs: number;
+  private readonly lateness: Lateness;
+  /** Calls to machines not fenced yet that may still be made in this tick, by all parts together. */
+  private fences = 0;
   private asks = 0;
   private types: MachineType[] | null = null;
   private order: { at: number; jobs: Map<string, number> } = { at: -Infinity, jobs: new Map() };
@@ -106,6 +112,7 @@
     const nodes = settings.siblings.length + 1;
     this.parts = partMap(settings.zones, nodes);
     this.averages = new Averages(clock);
+    this.lateness = new Lateness(clock);
     const api = stateApi(http, settings.state, STATE_DEADLINE_MS, signal);
     this.store = new Store(api, clock, { rps: settings.stateRps, writeRps: settings.stateWriteRps, nodes });
     this.replica = new Replica(
@@ -126,7 +133,7 @@
       store: this.store,
       replica: this.replica,
       parts: this.parts,
-      busy: () => [...this.owned.values()].some(({ part }) => part.unfenced > FENCE_BATCH),
+      busy: () => [...this.owned.values()].some(({ part }) => part.unfenced > FEW_UNFENCED),
     });
     this.limits = new Limits(settings.teams, this.parts.names);
     this.cloud = new CloudCalls(
@@ -164,6 +171,7 @@
     const { clock, log, signal } = this.deps;
     const duty = { clock, log, signal };
     await Promise.all([
+      this.lateness.run(signal),
       this.replica.run(signal),
       this.membership.run(signal),
       routine('parts', OWNERSHIP_TICK_MS, duty, () => this.tickParts()),
@@ -257,6 +265,8 @@
         typeOf: (type) => this.types?.find((t) => t.name === type) ?? null,
         servingOrder: () => this.servingOrder(),
         mayAct: () => this.mayAct(),
+        lateSince: (at) => this.lateness.since(at),
+        takeFence: () => this.fences-- > 0,
         proofMs: this.proofMs,
         onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
       },
@@ -491,6 +501,10 @@
 
   private tickParts(): void {
     void this.finishJobs();
+    // A node that is late first serves what reaches it: most machines report by themselves.
+    const inTime = !this.lateness.since(this.deps.clock.now() - IN_TIME_MS);
+    const perTick = (FENCES_PER_CPU_S * this.deps.settings.cores * OWNERSHIP_TICK_MS) / 1000;
+    this.fences = inTime ? Math.ceil(perTick) : 0;
     for (const [name, owned] of this.owned) {
       owned.part.tick();
       this.tell(name, owned);
--- a/src/coordination/jobs.ts
+++ b/src/coordination/jobs.ts
@@ -139,7 +139,8 @@
     const { replica } = this.context;
     if (replica.version(openJobKey(id)) !== 0 && (await replica.provenWithin(POLL_WAIT_MS))) {
       const spec = this.context.openSpec(id);
-      if (spec) return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks: spec.tasks })) };
+      if (spec)
+        return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks: spec.tasks })) };
     }
     const found = await this.read(id);
     return found ? { status: 200, body: encodeView(this.view(id, found.job)) } : answers.notFound;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -4,7 +4,6 @@
   COMMAND_DEADLINE_MS,
   FAULT_PAUSE_MS,
   FAULTS_TO_DRAIN,
-  FENCE_BATCH,
   FENCE_RETRY_MAX_MS,
   FENCE_RETRY_MS,
   FIRST_SESSION,
@@ -82,6 +81,10 @@
   servingOrder: () => Map<string, number>;
   /** Whether contact with the state service is fresh enough to act as an owner. */
   mayAct: () => boolean;
+  /** Whether this process had too little processor time at some time since then. */
+  lateSince: (at: number) => boolean;
+  /** Takes one of the calls that this node may make now to machines that have not accepted it yet. */
+  takeFence: () => boolean;
   /** How long after its last proof of contact an owner may still answer reports. */
   proofMs: number;
   /** A machine carries a higher token than this part's: someone else owns it. */
@@ -780,12 +783,12 @@
   /** Fences, finds the end of leases, wakes pausing tasks, records machines and progress. */
   tick(): void {
     const now = this.context.clock.now();
-    let fences = this.context.mayAct() ? FENCE_BATCH : 0;
+    const mayAct = this.context.mayAct();
     for (const machine of this.machines.values()) {
       machine.type ??= this.context.typeOf(machine.typeName);
       if (this.leaseOver(machine, now)) this.expire(machine);
-      if (!machine.fenced && machine.recorded && now >= machine.nextFenceAt && fences > 0) {
-        fences--;
+      const unfenced = mayAct && !machine.fenced && machine.recorded && now >= machine.nextFenceAt;
+      if (unfenced && this.context.takeFence()) {
         const pause = Math.min(FENCE_RETRY_MS * 2 ** Math.min(machine.fenceTries, 10), FENCE_RETRY_MAX_MS);
         machine.nextFenceAt = now + pause + COMMAND_DEADLINE_MS;
         void this.fence(machine);
@@ -825,17 +828,21 @@
   }
 
   private async fence(machine: Machine): Promise<void> {
+    const began = this.context.clock.now();
     let answer = await this.send(machine, []);
     if (answer === 'rejected' && !machine.fenced && this.active) answer = await this.send(machine, []);
-    if (answer === 'unknown') machine.fenceTries++;
+    // A controller without processor time would return healthy machines one after the other.
+    if (answer === 'unknown' && !this.context.lateSince(began)) machine.fenceTries++;
   }
 
-  /** Asks a silent machine directly; true if it answered. */
-  async probe(machine: Machine): Promise<boolean> {
+  /** Asks a silent machine directly. */
+  async probe(machine: Machine): Promise<'answers' | 'deaf' | 'unknown'> {
+    const began = this.context.clock.now();
     machine.probing = true;
     const answer = await this.send(machine, []);
     machine.probing = false;
-    return answer !== 'unknown';
+    if (answer !== 'unknown') return 'answers';
+    return this.context.lateSince(began) ? 'unknown' : 'deaf';
   }
 
   /** The cloud confirmed that the machine and all on it are gone. */
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -274,8 +274,9 @@
 
   private async probe(machine: Machine): Promise<void> {
     machine.probedAt = this.deps.clock.now();
-    const answered = await this.part.probe(machine);
-    machine.deafSince = answered ? Infinity : Math.min(machine.deafSince, this.deps.clock.now());
+    const found = await this.part.probe(machine);
+    if (found === 'answers') machine.deafSince = Infinity;
+    if (found === 'deaf') machine.deafSince = Math.min(machine.deafSince, this.deps.clock.now());
   }
 
   private giveBack(machine: Machine, why: string): void {
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -34,6 +34,7 @@
     workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
     state: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: positive }),
     cloud: z.object({ rps: positive, list_lag_s: z._default(z.number(), 10) }),
+    machine_limits: z._default(z.object({ cores: z._default(positive, 1) }), { cores: 1 }),
   }),
 });
 
@@ -77,6 +78,8 @@
   txnOps: number;
   cloudRps: number;
   listLagMs: number;
+  /** Processor time that this node has, in cores. */
+  cores: number;
 }
 
 /** The platform's settings; throws an error of one line that names the field where they are bad. */
@@ -122,6 +125,7 @@
     txnOps: d.state.txn_ops,
     cloudRps: d.cloud.rps,
     listLagMs: d.cloud.list_lag_s * 1000,
+    cores: d.machine_limits.cores,
   };
 }
 
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -55,7 +55,9 @@
         reject(new NoAnswer(`${call.method} ${call.path}: ${why}`));
       };
       const onAbort = (): void => fail('cancelled');
-      const timer = setTimeout(() => fail(`no answer within ${String(call.deadlineMs)} ms`), call.deadlineMs);
+      // A process that was late reads what has arrived meanwhile before it calls that no answer.
+      const late = (): void => fail(`no answer within ${String(call.deadlineMs)} ms`);
+      const timer = setTimeout(() => setImmediate(late), call.deadlineMs);
       const cleanUp = (): void => {
         clearTimeout(timer);
         call.signal?.removeEventListener('abort', onAbort);
