--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -66,7 +66,10 @@
   nextFenceAt: number;
   /** Tries to fence it that had no answer. */
   fenceTries: number;
-  attempts: Map<string, Attempt>;
+  /** Changed by `attach` and `detach` only. */
+  readonly attempts: Map<string, Attempt>;
+  /** What is left beside the attempts, as last reckoned; undefined after a change. */
+  left: Need | null | undefined;
   ended: Map<string, EndedAttempt>;
   /** Attempts with a direct launch that got no answer: forgotten, it could start again when it arrives late. */
   unforgettable: Set<string>;
@@ -108,6 +111,7 @@
     nextFenceAt: now,
     fenceTries: 0,
     attempts: new Map(),
+    left: undefined,
     ended: new Map(),
     unforgettable: new Set(),
     load: 0,
@@ -141,13 +145,31 @@
   ramGb: number;
 }
 
-/** What the machine has left, or null when something on it or its type is unknown. */
-export function room(machine: Machine): Need | null {
+/** Every change of a machine's attempts goes through these two: what is left on it is reckoned from them. */
+export function attach(machine: Machine, attempt: Attempt): void {
+  machine.attempts.set(attempt.key, attempt);
+  machine.left = undefined;
+}
+export function detach(machine: Machine, attempt: Attempt): void {
+  machine.attempts.delete(attempt.key);
+  machine.left = undefined;
+}
+
+/**
+ * What the machine has left, or null when something on it or its type is unknown. Kept until its attempts change:
+ * a round of placing asks every machine of the part.
+ */
+export function room(machine: Machine): Readonly<Need> | null {
   if (!machine.type) return null;
+  if (machine.left === undefined) machine.left = reckonRoom(machine, machine.type);
+  return machine.left;
+}
+
+function reckonRoom(machine: Machine, type: MachineType): Need | null {
   const left = {
-    cores: machine.type.cores,
-    accelerators: machine.type.accelerators,
-    ramGb: machine.type.ramGb,
+    cores: type.cores,
+    accelerators: type.accelerators,
+    ramGb: type.ramGb,
   };
   for (const attempt of machine.attempts.values()) {
     if (!attempt.slice) return null;
--- a/src/coordination/limits.ts
+++ b/src/coordination/limits.ts
@@ -7,6 +7,7 @@
  */
 export class Limits {
   private readonly records = new Map<string, QuotaRecord>();
+  private readonly evenSplits = new Map<string, QuotaRecord>();
 
   constructor(
     private readonly teams: Map<string, Team>,
@@ -25,7 +26,7 @@
 
   /** The split as it stands; an even one until a first shift is recorded. */
   split(team: string): QuotaRecord {
-    const known = this.records.get(team);
+    const known = this.records.get(team) ?? this.evenSplits.get(team);
     if (known) return known;
     const t = this.teams.get(team);
     // A limit that is not set is recorded as 0 and never looked at.
@@ -34,6 +35,7 @@
     for (const part of this.parts) {
       shares[part] = { cores: even(t?.maxCores ?? 0), accelerators: even(t?.maxAccelerators ?? 0) };
     }
+    this.evenSplits.set(team, { shares });
     return { shares };
   }
 
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -21,8 +21,10 @@
   TASK_RETRY_MS,
 } from '../constants.ts';
 import {
+  attach,
   type Attempt,
   booked,
+  detach,
   type Machine,
   type Need,
   newMachine,
@@ -62,7 +64,7 @@
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
-import { Chooser, evict, Refusals } from './placement.ts';
+import { Chooser, Evictor, Refusals } from './placement.ts';
 import { latestStart } from './waiting.ts';
 
 export interface PartContext {
@@ -116,6 +118,10 @@
   private idle: Machine[] = [];
   private readonly ownedVersion: Int;
   private counter = 0;
+  /** The slices as last put in order, and by what. */
+  private ordered: { by: Map<string, number> | null; slices: Slice[] } = { by: null, slices: [] };
+  /** What each team's known tasks take of the machines. */
+  private readonly placedCores = new Map<string, Amounts>();
   private placing = false;
   private placedAt = -Infinity;
   /** Work of lower priority is looked for once a tick, and not at every report. */
@@ -188,6 +194,7 @@
   addSlice(given: GivenSlice): void {
     if (this.slices.has(given.name)) return;
     this.slices.set(given.name, new Slice(given, false));
+    this.ordered.by = null;
     this.schedulePlacing();
   }
 
@@ -196,6 +203,7 @@
     const slice = this.slices.get(name);
     if (!slice) return;
     this.slices.delete(name);
+    this.ordered.by = null;
     this.progressPages.remove(name);
     slice.withdrawn = true;
     slice.waiting.length = 0;
@@ -207,7 +215,7 @@
         if (attempt.slice !== slice) continue;
         attempt.halting = true;
         attempt.graceS = 0;
-        if (attempt.phase === 'new') machine.attempts.delete(attempt.key);
+        if (attempt.phase === 'new') this.detach(machine, attempt);
         else commanded = true;
       }
       if (commanded) this.command(machine);
@@ -238,8 +246,8 @@
     machine.answeredAt = Math.max(machine.answeredAt, now);
     if (!this.apply(machine, report, true)) return [];
     // Placed before the answer where that is allowed: what the machine gets then needs no call of its own.
-    if (now - this.placedAt >= PLACE_GAP_MS) this.place(machine);
-    else this.schedulePlacing();
+    if (!this.placing) this.placeOn(machine);
+    else if (now - this.placedAt >= PLACE_GAP_MS) this.place(machine);
     return this.orders(machine, 'report');
   }
 
@@ -331,7 +339,7 @@
 
   /** The attempt is certainly gone from its machine without a result. */
   private lose(machine: Machine, attempt: Attempt): void {
-    machine.attempts.delete(attempt.key);
+    this.detach(machine, attempt);
     attempt.slice?.unplace(attempt.position, attempt.key, null);
     this.schedulePlacing();
   }
@@ -370,7 +378,7 @@
       startedAt: this.context.clock.now(),
     };
     if (free) slice.place(position, key);
-    machine.attempts.set(key, attempt);
+    this.attach(machine, attempt);
     return attempt;
   }
 
@@ -389,7 +397,7 @@
   private end(machine: Machine, attempt: Attempt, reason: EndReason): void {
     const { slice, position, key } = attempt;
     const now = this.context.clock.now();
-    machine.attempts.delete(key);
+    this.detach(machine, attempt);
     machine.ended.set(key, {
       task: attempt.task,
       number: attempt.number,
@@ -530,9 +538,9 @@
       const report = decodeReport(parseJson(answer.text));
       if (!report || report.machine !== machine.id || this.machines.get(machine.id) !== machine)
         return 'unknown';
-      if (this.active) {
-        this.apply(machine, report, false);
-        this.schedulePlacing();
+      if (this.active && this.apply(machine, report, false) && !this.placing) {
+        this.placeOn(machine);
+        this.command(machine);
       }
       return answer.status === 200 ? 'executed' : 'rejected';
     } catch (error) {
@@ -556,28 +564,46 @@
     else void this.context.clock.sleep(gap, this.signal).then(run);
   }
 
-  /** Machines that may take tasks now. */
-  private open(now: number): Machine[] {
-    const silent = this.context.settings.reportMs * SILENT_REPORTS;
-    return [...this.machines.values()].filter(
-      (m) =>
-        m.recorded &&
-        m.fenced &&
-        !m.draining &&
-        !m.returning &&
-        m.pausedUntil <= now &&
-        now - m.heardAt < silent,
+  /** Whether the machine may take tasks now. */
+  private isOpen(m: Machine, now: number): boolean {
+    return (
+      m.recorded &&
+      m.fenced &&
+      !m.draining &&
+      !m.returning &&
+      m.pausedUntil <= now &&
+      now - m.heardAt < this.context.settings.reportMs * SILENT_REPORTS
     );
   }
 
+  private open(now: number): Machine[] {
+    return [...this.machines.values()].filter((m) => this.isOpen(m, now));
+  }
+
   /** Slices with waiting tasks, in the order in which they are served. */
   private queue(): Slice[] {
     const order = this.context.servingOrder();
-    const waits: { slice: Slice; place: number }[] = [];
-    for (const slice of this.slices.values()) {
-      if (slice.waiting.length > 0) waits.push({ slice, place: order.get(slice.spec.id) ?? order.size });
+    // Put in order when the order or the slices change, and not at every report.
+    if (this.ordered.by !== order) {
+      const places = [...this.slices.values()].map((slice) => ({
+        slice,
+        place: order.get(slice.spec.id) ?? order.size,
+      }));
+      places.sort((a, b) => a.place - b.place || a.slice.at - b.slice.at);
+      this.ordered = { by: order, slices: places.map((entry) => entry.slice) };
     }
-    return waits.sort((a, b) => a.place - b.place || a.slice.at - b.slice.at).map((wait) => wait.slice);
+    return this.ordered.slices.filter((slice) => slice.waiting.length > 0);
+  }
+
+  /**
+   * Gives the machine just heard of what waits. All that waits found no room elsewhere in the last round, and
+   * nothing but this machine has changed since: so the design's wait ends with the report that shows room.
+   */
+  private placeOn(machine: Machine): void {
+    const now = this.context.clock.now();
+    if (!this.context.mayAct() || !this.isOpen(machine, now) || (room(machine)?.cores ?? 0) <= 0) return;
+    const queue = this.queue();
+    if (queue.length > 0) this.serve(queue, [machine], now, 'one machine');
   }
 
   /** Gives waiting tasks machines. `answering`: the machine whose report is being answered with its orders. */
@@ -589,29 +615,40 @@
     const queue = this.queue();
     if (queue.length === 0) return;
     const open = this.open(now);
-    const left = new Map(open.map((machine) => [machine, room(machine)]));
-    const roomy = open.filter((machine) => (left.get(machine)?.cores ?? 0) > 0);
+    const touched = this.serve(queue, open, now, this.mayPreempt ? 'preempting' : 'whole part');
+    this.mayPreempt = false;
+    for (const machine of touched) if (machine !== answering) this.command(machine);
+  }
+
+  /** Gives the waiting tasks room on the machines. Returns the machines that have something to be told. */
+  private serve(
+    queue: Slice[],
+    open: Machine[],
+    now: number,
+    round: 'one machine' | 'whole part' | 'preempting',
+  ): Set<Machine> {
+    const claimed = new Map<Machine, Need>();
+    const hasRoom = (machine: Machine): boolean => (room(machine)?.cores ?? 0) > 0;
+    const roomy = open.filter(hasRoom);
+    const among = new Set(roomy);
     const used = this.usages();
     const touched = new Set<Machine>();
-    const claimed = new Map<Machine, Need>();
     const refusals = new Refusals();
-    const preempting = this.mayPreempt;
-    this.mayPreempt = false;
     for (const slice of queue) {
+      if (round === 'one machine' && !roomy.some(hasRoom)) break;
       const { spec } = slice;
       let chooser: Chooser | null = null;
       let unplaced = 0;
       while (slice.waiting.length > 0) {
-        if (!this.withinLimit(slice, used)) break;
+        if (!this.withinLimit(slice, used)) {
+          if (round !== 'one machine') this.noteWant(slice);
+          break;
+        }
         if (chooser === null && refusals.cover(spec)) {
           unplaced = slice.waiting.length;
           break;
         }
-        chooser ??= new Chooser(
-          spec,
-          { open: roomy, idle: this.idle.filter((m) => left.has(m)) },
-          (m) => left.get(m) ?? null,
-        );
+        chooser ??= new Chooser(spec, { open: roomy, idle: this.idle.filter((m) => among.has(m)) });
         const machine = chooser.next(this.context.random);
         const position = machine ? slice.waiting.pop() : undefined;
         if (!machine || position === undefined) {
@@ -620,7 +657,6 @@
           break;
         }
         this.start(machine, slice, position, now);
-        left.set(machine, room(machine));
         touched.add(machine);
         const sum = used.get(spec.team);
         if (sum) {
@@ -628,43 +664,68 @@
           sum.accelerators += spec.accelerators;
         }
       }
-      if (unplaced === 0 || !preempting) continue;
-      // Most waits end by themselves in time: work is stopped only for a job that would else miss its aim.
-      const wall = this.context.wallClock();
-      const start = latestStart(slice, wall, this.context.settings);
-      if (start === Infinity || start - wall > PREEMPT_SLACK_MS) continue;
-      const most = Math.min(unplaced, this.limitLeft(slice, used));
-      for (const machine of this.preempt(slice, most, open, claimed)) touched.add(machine);
+      if (unplaced > 0 && round === 'preempting') {
+        for (const machine of this.preempt(slice, unplaced, open, claimed, used)) touched.add(machine);
+      }
     }
-    for (const machine of touched) if (machine !== answering) this.command(machine);
+    return touched;
   }
 
-  /** Stops work of lower priority where that makes room; the room is taken when its end is reported. */
-  private preempt(slice: Slice, tasks: number, open: Machine[], claimed: Map<Machine, Need>): Machine[] {
+  /**
+   * Stops work of lower priority where that makes room; the room is taken when its end is reported. Most waits
+   * end by themselves in time, so this is done only for a job that would else miss its aim.
+   */
+  private preempt(
+    slice: Slice,
+    unplaced: number,
+    open: Machine[],
+    claimed: Map<Machine, Need>,
+    used: Map<string, Amounts>,
+  ): Machine[] {
+    const wall = this.context.wallClock();
+    const start = latestStart(slice, wall, this.context.settings);
+    if (start === Infinity || start - wall > PREEMPT_SLACK_MS) return [];
     const on: Machine[] = [];
-    for (let i = 0; i < tasks; i++) {
-      const found = evict(slice.spec, open, claimed);
+    const evictor = new Evictor(slice.spec, open, claimed);
+    for (let i = Math.min(unplaced, this.limitLeft(slice, used)); i > 0; i--) {
+      const found = evictor.next();
       if (!found) break;
       if (found.victims.length === 0) continue; // room that is being made already
-      for (const victim of found.victims) {
-        victim.halting = true;
-        victim.graceS = victim.slice?.spec.saveS ?? 0;
-        this.context.log.debug(
-          { machine: found.machine.id, task: victim.task, by: slice.spec.id },
-          'preempted',
-        );
-      }
+      this.context.log.debug(
+        { machine: found.machine.id, tasks: found.victims.map((v) => v.task), by: slice.spec.id },
+        'preempted',
+      );
       on.push(found.machine);
     }
     return on;
   }
 
+  private attach(machine: Machine, attempt: Attempt): void {
+    attach(machine, attempt);
+    this.count(attempt, 1);
+  }
+
+  private detach(machine: Machine, attempt: Attempt): void {
+    if (machine.attempts.get(attempt.key) !== attempt) return;
+    detach(machine, attempt);
+    this.count(attempt, -1);
+  }
+
+  private count(attempt: Attempt, times: number): void {
+    if (!attempt.slice) return;
+    const { team, cores, accelerators } = attempt.slice.spec;
+    const sum = this.placedCores.get(team) ?? { cores: 0, accelerators: 0 };
+    this.placedCores.set(team, sum);
+    sum.cores += times * cores;
+    sum.accelerators += times * accelerators;
+  }
+
   private start(machine: Machine, slice: Slice, position: number, now: number): void {
     if (this.counter >= ATTEMPTS_PER_TOKEN - 1) return this.context.onOutdated(this.name);
     const number = this.token * ATTEMPTS_PER_TOKEN + ++this.counter;
     const task = taskName(slice.spec.id, slice.index(position));
     const key = attemptKey(task, number);
-    machine.attempts.set(key, {
+    this.attach(machine, {
       key,
       task,
       number,
@@ -690,35 +751,25 @@
     return this.usages().get(team) ?? { cores: 0, accelerators: 0 };
   }
 
-  /** The same for every team that has a limit, in one pass over the machines. */
+  /** The same for every team that has a limit. */
   private usages(): Map<string, Amounts> {
-    const sums = new Map<string, Amounts>();
-    for (const team of this.context.settings.teams.keys()) {
-      if (this.context.limits.limited(team)) sums.set(team, { cores: 0, accelerators: 0 });
-    }
-    if (sums.size === 0) return sums;
     const unknown = { cores: 0, accelerators: 0 };
     for (const machine of this.machines.values()) {
-      let full = machine.suspect;
-      for (const attempt of machine.attempts.values()) {
-        if (!attempt.slice) {
-          full = true;
-          continue;
-        }
-        const sum = sums.get(attempt.slice.spec.team);
-        if (!sum) continue;
-        sum.cores += attempt.slice.spec.cores;
-        sum.accelerators += attempt.slice.spec.accelerators;
-      }
-      if (!full) continue;
+      const left = room(machine);
+      if (left && !machine.suspect) continue;
       // A machine not fenced since the takeover, or one with a task of a job that is over, may be full of any team's tasks.
-      const left = room(machine) ?? machine.type;
-      unknown.cores += Math.max(0, left?.cores ?? Infinity);
-      unknown.accelerators += Math.max(0, left?.accelerators ?? Infinity);
+      const whole = left ?? machine.type;
+      unknown.cores += Math.max(0, whole?.cores ?? Infinity);
+      unknown.accelerators += Math.max(0, whole?.accelerators ?? Infinity);
     }
-    for (const sum of sums.values()) {
-      sum.cores += unknown.cores;
-      sum.accelerators += unknown.accelerators;
+    const sums = new Map<string, Amounts>();
+    for (const team of this.context.settings.teams.keys()) {
+      if (!this.context.limits.limited(team)) continue;
+      const placed = this.placedCores.get(team);
+      sums.set(team, {
+        cores: unknown.cores + (placed?.cores ?? 0),
+        accelerators: unknown.accelerators + (placed?.accelerators ?? 0),
+      });
     }
     return sums;
   }
@@ -771,11 +822,15 @@
     ) {
       return true;
     }
+    return false;
+  }
+
+  private noteWant(slice: Slice): void {
+    const { team, cores, accelerators } = slice.spec;
     const want = this.wants.get(team) ?? { cores: 0, accelerators: 0 };
     want.cores += cores * slice.waiting.length;
     want.accelerators += accelerators * slice.waiting.length;
     this.wants.set(team, want);
-    return false;
   }
 
   // --- duties ---
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -35,7 +35,6 @@
   constructor(
     private readonly spec: JobSpec,
     from: Candidates,
-    private readonly left: (machine: Machine) => Need | null = room,
   ) {
     const takes = (machine: Machine): boolean => allows(spec, machine) && this.hasRoom(machine);
     const idle = from.idle.filter(takes);
@@ -86,7 +85,7 @@
   }
 
   private hasRoom(machine: Machine): boolean {
-    const left = this.left(machine);
+    const left = room(machine);
     return left !== null && fits(this.spec, left);
   }
 }
@@ -119,47 +118,80 @@
   victims: Attempt[];
 }
 
+interface Choice extends Eviction {
+  lastStart: number;
+}
+
 /**
- * Finds a machine on which stopping work of lower priority makes room for one task of the job, and what to
- * stop there: the fewest tasks, those started last, so that the least work is lost. `claimed` is room that
- * tasks being stopped will leave, and that earlier calls have counted on.
+ * Finds, task by task, a machine on which stopping work of lower priority makes room for one more task of the
+ * job, and what to stop there: the fewest tasks, those started last, so that the least work is lost. `claimed`
+ * is room that tasks being stopped will leave, and that others have counted on. Every machine is looked at once
+ * for the job, and again only when it was chosen: a job about to be late has a hundred tasks.
  */
-export function evict(spec: JobSpec, machines: Machine[], claimed: Map<Machine, Need>): Eviction | null {
-  let best: (Eviction & { lastStart: number }) | null = null;
-  for (const machine of machines) {
-    if (!allows(spec, machine)) continue;
-    const left = room(machine);
-    if (!left) continue;
-    const taken = claimed.get(machine);
+export class Evictor {
+  private readonly choices: Choice[] = [];
+
+  constructor(
+    private readonly spec: JobSpec,
+    machines: Machine[],
+    private readonly claimed: Map<Machine, Need>,
+  ) {
+    for (const machine of machines) {
+      const choice = allows(spec, machine) ? this.look(machine) : null;
+      if (choice) this.choices.push(choice);
+    }
+  }
+
+  next(): Eviction | null {
+    let best: Choice | undefined;
+    for (const choice of this.choices) {
+      const fewer = choice.victims.length - (best?.victims.length ?? Infinity);
+      if (!best || fewer < 0 || (fewer === 0 && choice.lastStart > best.lastStart)) best = choice;
+    }
+    if (!best) return null;
+    const { machine, victims } = best;
+    for (const victim of victims) {
+      victim.halting = true;
+      victim.graceS = victim.slice?.spec.saveS ?? 0;
+    }
+    const sum = this.claimed.get(machine) ?? { cores: 0, accelerators: 0, ramGb: 0 };
+    add(sum, this.spec, 1);
+    this.claimed.set(machine, sum);
+    const again = this.look(machine);
+    const at = this.choices.indexOf(best);
+    if (again) this.choices[at] = again;
+    else this.choices.splice(at, 1);
+    return { machine, victims };
+  }
+
+  private look(machine: Machine): Choice | null {
+    const now = room(machine);
+    if (!now) return null;
+    const left = { ...now };
+    const taken = this.claimed.get(machine);
     if (taken) add(left, taken, -1);
     const lower: Attempt[] = [];
     for (const attempt of machine.attempts.values()) {
       if (attempt.halting) {
         if (attempt.slice) add(left, attempt.slice.spec, 1);
-      } else if (attempt.phase === 'seen' && attempt.slice && attempt.slice.spec.priority > spec.priority)
+      } else if (
+        attempt.phase === 'seen' &&
+        attempt.slice &&
+        attempt.slice.spec.priority > this.spec.priority
+      )
         lower.push(attempt);
     }
     lower.sort((a, b) => b.startedAt - a.startedAt);
     const victims: Attempt[] = [];
-    while (!fits(spec, left) && victims.length < lower.length) {
+    while (!fits(this.spec, left) && victims.length < lower.length) {
       const victim = lower[victims.length];
       if (!victim?.slice) break;
       victims.push(victim);
       add(left, victim.slice.spec, 1);
     }
-    if (!fits(spec, left)) continue;
-    const lastStart = victims.length === 0 ? Infinity : Math.min(...victims.map((v) => v.startedAt));
-    const better =
-      !best ||
-      victims.length < best.victims.length ||
-      (victims.length === best.victims.length && lastStart > best.lastStart);
-    if (better) best = { machine, victims, lastStart };
+    if (!fits(this.spec, left)) return null;
+    return { machine, victims, lastStart: victims.at(-1)?.startedAt ?? Infinity };
   }
-  if (!best) return null;
-  const sum = claimed.get(best.machine) ?? { cores: 0, accelerators: 0, ramGb: 0 };
-  add(sum, spec, 1);
-  claimed.set(best.machine, sum);
-  return best;
 }
 
 function add(to: Need, what: Need, times: number): void {
