--- a/src/bookkeeping/slices.ts
+++ b/src/bookkeeping/slices.ts
@@ -97,6 +97,22 @@
     this.held.clear();
   }
 
+  /** The tasks that certainly run nowhere, as a record of a set. */
+  get free(): string {
+    const free = new TaskSet(this.count);
+    for (const position of this.waiting) free.add(position);
+    for (const { position } of this.pausing) free.add(position);
+    return free.encode();
+  }
+
+  /** Of the tasks held, those that the owner before knew to run nowhere wait again. */
+  releaseFree(encoded: string): void {
+    const free = new TaskSet(this.count, encoded);
+    for (const position of this.held) {
+      if (free.has(position) && this.held.delete(position)) this.waiting.push(position);
+    }
+  }
+
   wake(now: number): void {
     for (let i = this.pausing.length - 1; i >= 0; i--) {
       const entry = this.pausing[i];
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -180,6 +180,8 @@
 export const MESH_RETRY_MS = 500;
 /** Bytes. The largest frame between siblings; a user's body and its envelope fit with room. */
 export const MESH_FRAME_BYTES = 1024 * 1024;
+/** Bytes of names and bits in a handover of a part; half of a frame, so that it fits with its signs. */
+export const HANDOVER_BYTES = MESH_FRAME_BYTES / 2;
 /** Milliseconds a sibling has to answer a request passed on to it. */
 export const FORWARD_DEADLINE_MS = 900;
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -38,7 +38,7 @@
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
-import { decodeMesh, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
+import { decodeMesh, type Handover, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
 import { stateApi } from '../protocol/state.ts';
 import type { JobSpec, UserAnswer } from '../protocol/users.ts';
 import { type Report, workerPaths } from '../protocol/workers.ts';
@@ -98,6 +98,8 @@
   private readonly progressPages = new Map<string, KnownPages<ProgressRecord>>();
   private finishing = false;
   private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
+  /** What the last owner before told of each part. */
+  private readonly handovers = new Map<string, Handover>();
   private readonly proofMs: number;
   private readonly lateness: Lateness;
   /** Calls to machines not fenced yet that may still be made in this tick, by all parts together. */
@@ -238,6 +240,11 @@
     if (current && (!mine || current.part.token !== record.token)) {
       current.abort.abort();
       this.owned.delete(name);
+      // Told only now that nothing more is started here; a later owner than the next could not rely on it.
+      if (record && !mine && record.token === current.part.token + 1) {
+        const free = current.part.freeTasks();
+        this.deps.sendToSibling(record.owner, { kind: 'handover', part: name, token: record.token, free });
+      }
       this.cloud.setShare(this.owned.size / this.parts.names.length);
       this.deps.log.info({ part: name, to: record?.owner ?? null }, 'part given up');
     }
@@ -292,6 +299,8 @@
       { part: name, token: record.token, machines: part.machines.size, slices: slices.length },
       'part owned',
     );
+    const handover = this.handovers.get(name);
+    if (handover) part.takeOver(handover);
     part.tick();
     this.cloud.setShare(this.owned.size / this.parts.names.length);
   }
@@ -383,6 +392,10 @@
     switch (message?.kind) {
       case 'part':
         return this.averages.set(message, false);
+      case 'handover':
+        // It may be here before the record that makes this node the owner.
+        this.handovers.set(message.part, message);
+        return this.owned.get(message.part)?.part.takeOver(message);
       case 'ask':
         return void this.answerSibling(from, message);
       case 'answer': {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -8,6 +8,7 @@
   FENCE_RETRY_MS,
   FIRST_SESSION,
   FORGET_MOST,
+  HANDOVER_BYTES,
   FORGET_MS,
   LEASE_MARGIN_MS,
   NO_MACHINES,
@@ -47,6 +48,7 @@
 import { TaskSet } from '../bookkeeping/task-set.ts';
 import type { MachineType } from '../protocol/cloud.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
+import type { Handover } from '../protocol/mesh.ts';
 import { type Condition, StateRefused } from '../protocol/state.ts';
 import {
   decodeReport,
@@ -118,6 +120,7 @@
   private idle: Machine[] = [];
   private readonly ownedVersion: Int;
   private counter = 0;
+  private outdated = false;
   /** The slices as last put in order, and by what. */
   private ordered: { by: Map<string, number> | null; slices: Slice[] } = { by: null, slices: [] };
   /** What each team's known tasks take of the machines. */
@@ -188,6 +191,11 @@
     return !this.signal.aborted;
   }
 
+  /** Whether this owner may start tasks and ask machines to accept it: not once one knows a newer owner. */
+  private mayAct(): boolean {
+    return !this.outdated && this.context.mayAct();
+  }
+
   // --- what the replica shows ---
 
   /** A job's slice, accepted since the takeover: no owner before can have launched any of it. */
@@ -255,6 +263,7 @@
   private apply(machine: Machine, report: Report, checkin: boolean): boolean {
     const now = this.context.clock.now();
     if (report.token > this.token) {
+      this.outdated = true;
       this.context.onOutdated(this.name);
       return false;
     }
@@ -456,12 +465,34 @@
     this.holding = false;
   }
 
+  // --- handing over ---
+
+  /** For the next owner: what this one, which has stopped starting anything, knows to run nowhere. */
+  freeTasks(): Record<string, string> {
+    const free: Record<string, string> = {};
+    let bytes = 0;
+    for (const slice of this.slices.values()) {
+      const encoded = slice.free;
+      bytes += encoded === '' ? 0 : encoded.length + slice.name.length;
+      if (bytes > HANDOVER_BYTES) break; // the rest is held, as after a crash
+      if (encoded !== '') free[slice.name] = encoded;
+    }
+    return free;
+  }
+
+  /** What the owner before this one knew to run nowhere need not be held until every machine has answered. */
+  takeOver(handover: Handover): void {
+    if (handover.token !== this.token || !this.holding) return;
+    for (const [name, encoded] of Object.entries(handover.free)) this.slices.get(name)?.releaseFree(encoded);
+    this.schedulePlacing();
+  }
+
   // --- orders ---
 
   /** Orders for the machine by the way they will travel; launches are noted as sent that way. */
   private orders(machine: Machine, way: 'report' | 'direct'): Order[] {
     const orders: Order[] = [];
-    const launching = machine.fenced && machine.recorded && this.context.mayAct();
+    const launching = machine.fenced && machine.recorded && this.mayAct();
     for (const attempt of machine.attempts.values()) {
       if (attempt.halting) {
         orders.push({ op: 'halt', task: attempt.task, attempt: attempt.number, graceS: attempt.graceS });
@@ -502,7 +533,7 @@
   }
 
   private async commandNow(machine: Machine): Promise<void> {
-    if (!machine.fenced || machine.returning || !this.context.mayAct()) return;
+    if (!machine.fenced || machine.returning || !this.mayAct()) return;
     const orders = this.orders(machine, 'direct');
     if (orders.length === 0) return;
     machine.commanding = true;
@@ -601,7 +632,7 @@
    */
   private placeOn(machine: Machine): void {
     const now = this.context.clock.now();
-    if (!this.context.mayAct() || !this.isOpen(machine, now) || (room(machine)?.cores ?? 0) <= 0) return;
+    if (!this.mayAct() || !this.isOpen(machine, now) || (room(machine)?.cores ?? 0) <= 0) return;
     const queue = this.queue();
     if (queue.length > 0) this.serve(queue, [machine], now, 'one machine');
   }
@@ -609,7 +640,7 @@
   /** Gives waiting tasks machines. `answering`: the machine whose report is being answered with its orders. */
   place(answering: Machine | null = null): void {
     this.wants.clear();
-    if (!this.context.mayAct()) return;
+    if (!this.mayAct()) return;
     const now = this.context.clock.now();
     this.placedAt = now;
     const queue = this.queue();
@@ -838,7 +869,7 @@
   /** Fences, finds the end of leases, wakes pausing tasks, records machines and progress. */
   tick(): void {
     const now = this.context.clock.now();
-    const mayAct = this.context.mayAct();
+    const mayAct = this.mayAct();
     for (const machine of this.machines.values()) {
       machine.type ??= this.context.typeOf(machine.typeName);
       if (this.leaseOver(machine, now)) this.expire(machine);
--- a/src/protocol/mesh.ts
+++ b/src/protocol/mesh.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod/mini';
 
-/** What siblings say to one another. Every message is advice or a passed-on request; none carries a right. */
+/** What siblings say to one another: advice, requests passed on, and what an owner before knows. None carries a right. */
 const message = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('part'),
@@ -20,6 +20,14 @@
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
     wants: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
   }),
+  z.object({
+    kind: z.literal('handover'),
+    part: z.string(),
+    /** Of the owner that it is for, the sender's direct successor. */
+    token: z.number(),
+    /** Tasks that run nowhere, by the slice's name, as the bits of their positions. */
+    free: z.record(z.string(), z.string()),
+  }),
   z.object({
     kind: z.literal('ask'),
     id: z.number(),
@@ -31,6 +39,7 @@
 
 export type MeshMessage = z.infer<typeof message>;
 export type PartMessage = Extract<MeshMessage, { kind: 'part' }>;
+export type Handover = Extract<MeshMessage, { kind: 'handover' }>;
 
 /** The message, or null for one this version does not know. */
 export function decodeMesh(value: unknown): MeshMessage | null {
