--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -159,7 +159,8 @@
   }
 
   private async followOnce(sentAt: number): Promise<void> {
-    const { revision, events } = await this.store.follow(LIVE, this.revision, FOLLOW_HOLD_MS);
+    const hold = this.waiting.size > 0 ? 0 : FOLLOW_HOLD_MS;
+    const { revision, events } = await this.store.follow(LIVE, this.revision, hold);
     for (const event of events) {
       if (event.op === 'put') this.put(event);
       else if (this.entries.delete(event.key)) this.tell(event.key, undefined, event.version);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -506,7 +506,7 @@
         }
       }
     }
-    if (way === 'report') orders.push(...this.forgets(machine, orders.length > 0));
+    if (way === 'report' || orders.length > 0) orders.push(...this.forgets(machine, orders.length > 0));
     return orders;
   }
 
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -5,6 +5,7 @@
 import { parseJson } from '../src/protocol/json.ts';
 import type { MeshMessage } from '../src/protocol/mesh.ts';
 import { readSettings } from '../src/settings.ts';
+import type { HttpReply } from '../src/transport/http-server.ts';
 import { seededRandom } from '../src/transport/random.ts';
 import { FakeClock, FakeCloud, FakeNetwork, FakeState, FakeWorker, settle, silentLog } from './fakes.ts';
 
@@ -173,11 +174,7 @@
     void promise.then(() => (answered = true));
     await settle();
     for (let i = 0; i < 40 && !answered; i++) await this.clock.pass(100);
-    const reply = await promise;
-    return {
-      status: reply.status,
-      body: (reply.body === '' ? {} : parseJson(reply.body)) as Record<string, unknown>,
-    };
+    return answerOf(await promise);
   }
 
   submit(zone: string, id: string, tasks: number, more: object = {}): Promise<Answer> {
@@ -188,6 +185,11 @@
     return this.call(zone, '/v1/jobs', 'POST', typeof body === 'string' ? body : JSON.stringify(body));
   }
 
+  /** A poll that is not waited for while time passes. */
+  async ask(zone: string, id: string): Promise<Answer> {
+    return answerOf(await this.node(zone).app({ method: 'GET', path: `/v1/jobs/${id}`, body: '' }));
+  }
+
   poll(zone: string, id: string): Promise<Answer> {
     return this.call(zone, `/v1/jobs/${id}`);
   }
@@ -212,6 +214,11 @@
   }
 }
 
+function answerOf(reply: HttpReply): Answer {
+  const body = reply.body === '' ? {} : parseJson(reply.body);
+  return { status: reply.status, body: body as Record<string, unknown> };
+}
+
 export function job(id: string, tasks: number): Record<string, unknown> {
   return {
     id,
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -100,6 +100,8 @@
   /** Work asked of the service, as its limits count it. */
   requests = 0;
   changes = 0;
+  /** Reads of a single key. */
+  reads = 0;
   private revision = 1;
   private leases = new Map<number, { life: number; until: number }>();
   private history: ({ put: string; v: unknown; edizione: number } | { remove: string; edizione: number })[] =
@@ -149,6 +151,7 @@
     if (url.pathname === '/follow') return this.follow(url);
     if (url.pathname === '/kv') return this.list(url);
     if (method === 'GET' && url.pathname.startsWith('/kv/')) {
+      this.reads++;
       const key = url.pathname.slice(4);
       const stored = this.data.get(key);
       if (!stored) return { status: 404, body: { protocollo: this.revision } };
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { FORGET_MS } from '../src/constants.ts';
 import { type Answer, CANCEL_MS, Cluster, job, LEASE_MS, REPORT_MS } from './cluster.ts';
 
 let c: Cluster;
@@ -119,6 +120,23 @@
     assert.equal((await c.submit('a', 'j-10', 3)).status, 201);
   });
 
+  it('serves the polls of open jobs from the follow, and reads for those it does not serve in time', async () => {
+    await c.submit('a', 'j-12', 3);
+    await c.clock.pass(2 * REPORT_MS);
+    const reads = c.state.reads;
+    const asked = Promise.all(Array.from({ length: 10 }, () => c.ask('b', 'j-12')));
+    await c.submit('a', 'j-13', 1); // a change: the follow answers
+    await c.clock.pass(1000);
+    for (const answer of await asked) assert.equal(answer.body['stato'], 'running');
+    assert.equal(c.state.reads, reads, 'none was read for');
+    assert.equal((await c.poll('b', 'j-12')).body['stato'], 'running');
+    assert.equal(c.state.reads, reads + 1, 'nothing changes: the follow is on hold');
+    // What was told over elsewhere is over here, whatever this node has seen.
+    const told = await c.withdraw('a', 'j-12');
+    assert.equal(told.body['stato'], 'aborted');
+    assert.equal((await c.poll('b', 'j-12')).body['stato'], 'aborted');
+  });
+
   it('passes requests on when this node alone is refused by the state service', async () => {
     c.fault('a', 'state', 'refused');
     await c.clock.pass(REPORT_MS);
@@ -318,6 +336,73 @@
     assert.equal(c.onMachines().length, 8, 'those that waited and those that were on it');
   });
 
+  it('hands over what runs nowhere: a machine that does not answer the next owner holds none of it up', async () => {
+    c = await cluster();
+    for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-63', 20, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    c.crash('b');
+    await c.clock.pass(10_000);
+    assert.equal(c.onMachines().length, 16, 'taken over, four tasks wait');
+    const cut = c.workers.get('b1');
+    const its = cut?.running() ?? [];
+    assert.equal(its.length, 4);
+    c.mute.add('b1');
+    for (const zone of zones) {
+      c.fault(zone, 'worker-b1:1', 'silent');
+      c.fault(zone, 'cloud:1', 'refused');
+    }
+    c.start('b');
+    // Ready to own needs the catalogue, which comes from the cloud.
+    c.fault('b', 'cloud:1', 'none');
+    await c.clock.pass(6000);
+    assert.deepEqual(c.owned('b'), ['b']);
+    c.fault('b', 'cloud:1', 'refused');
+    for (const w of c.workers.values()) if (w.id !== 'b1') for (const t of w.running()) w.finish(t);
+    await c.clock.pass(2 * REPORT_MS);
+    const elsewhere = c.onMachines().filter((task) => !its.includes(task));
+    assert.equal(elsewhere.length, 4, 'those that waited run');
+    for (const task of its) assert.equal(startsOf(task), 1, 'those that may be on the machine do not');
+  });
+
+  it('starts what waits in the answer to the report that shows room, without a call of its own', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-64', 9, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 8);
+    const before = [...c.workers.values()].reduce((sum, w) => sum + w.commands, 0);
+    const [first] = c.workers.get('b1')?.running() ?? [];
+    c.workers.get('b1')?.finish(first ?? '');
+    await c.clock.pass(1.5 * REPORT_MS);
+    assert.equal(c.onMachines().length, 8, 'the ninth has started');
+    assert.equal(
+      [...c.workers.values()].reduce((sum, w) => sum + w.commands, 0),
+      before,
+    );
+  });
+
+  it('has finished tasks forgotten together with the next start, or after a while', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-65', 8, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const b1 = c.workers.get('b1');
+    assert.ok(b1);
+    for (const task of b1.running()) b1.finish(task);
+    await c.clock.pass(6000);
+    assert.equal(b1.tasks.length, 4, 'recorded, and kept: forgetting alone would be a report more');
+    for (const task of c.workers.get('b2')?.running() ?? []) c.workers.get('b2')?.finish(task);
+    await c.submit('a', 'j-66', 8, { sede: 'b' });
+    await c.clock.pass(3 * REPORT_MS);
+    assert.deepEqual(
+      b1.tasks.map((t) => t.stato),
+      ['running', 'running', 'running', 'running'],
+    );
+    for (const task of b1.running()) b1.finish(task);
+    await c.clock.pass(FORGET_MS + 3 * REPORT_MS);
+    assert.deepEqual(b1.tasks, []);
+  });
+
   it('lets a stale owner’s late transaction fail', async () => {
     c = await cluster();
     await c.submit('a', 'j-33', 2, { sede: 'b' });
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
-import { describe, it } from 'node:test';
+import { describe, it, mock } from 'node:test';
 import { MAX_BODY_BYTES } from '../src/constants.ts';
 import { httpApi } from '../src/protocol/http-api.ts';
 import { httpClient, NoAnswer } from '../src/transport/http-client.ts';
@@ -15,6 +15,31 @@
   });
 });
 
+describe('HTTP client without processor time', () => {
+  it('reads the answer that lies in its socket before it calls a deadline missed', async () => {
+    const later = setTimeout;
+    const server = createServer((_req, res) => {
+      res.end('{}');
+      // The process is held up past the deadline: its timers come before what has arrived meanwhile.
+      const until = performance.now() + 5;
+      later(() => mock.timers.tick(1000), 1);
+      while (performance.now() < until);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const at = server.address();
+    const address = `127.0.0.1:${String(typeof at === 'object' ? at?.port : '')}`;
+    mock.timers.enable({ apis: ['setTimeout'] });
+    try {
+      const answer = await httpClient()({ address, method: 'GET', path: '/', deadlineMs: 1000 });
+      assert.equal(answer.status, 200);
+    } finally {
+      mock.timers.reset();
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+});
+
 describe('HTTP server', () => {
   it('answers a body over the limit with 413 without keeping it, a malformed one with 400, and goes on', async () => {
     const reached = (): never => assert.fail('no handler is called');
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -1,19 +1,29 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { NO_MACHINES } from '../src/constants.ts';
-import { type Machine, newMachine, useImage } from '../src/bookkeeping/machines.ts';
+import { LATE_MS, LATENESS_LOOK_MS, NO_MACHINES } from '../src/constants.ts';
+import {
+  attach,
+  type Attempt,
+  detach,
+  type Machine,
+  newMachine,
+  room,
+  useImage,
+} from '../src/bookkeeping/machines.ts';
+import { Slice } from '../src/bookkeeping/slices.ts';
 import { sliceCapacity } from '../src/bookkeeping/records.ts';
 import { TaskSet } from '../src/bookkeeping/task-set.ts';
 import { Averages } from '../src/coordination/averages.ts';
 import { Part, type PartContext } from '../src/coordination/part.ts';
 import { partMap } from '../src/coordination/parts.ts';
-import { pick, Refusals } from '../src/coordination/placement.ts';
+import { Evictor, pick, Refusals } from '../src/coordination/placement.ts';
 import { readOperatorSettings } from '../src/operator-settings.ts';
 import { parseJson, stringifyJson } from '../src/protocol/json.ts';
 import type { PartMessage } from '../src/protocol/mesh.ts';
 import { decodeSubmission, type JobSpec } from '../src/protocol/users.ts';
 import { decodeReport } from '../src/protocol/workers.ts';
 import { readSettings } from '../src/settings.ts';
+import { Lateness } from '../src/transport/lateness.ts';
 import { Pace } from '../src/transport/pace.ts';
 import { seededRandom } from '../src/transport/random.ts';
 import { type Planned, servingOrder } from '../src/coordination/waiting.ts';
@@ -110,6 +120,68 @@
   });
 });
 
+describe('room', () => {
+  const running = (m: Machine, of: JobSpec, number: number, startedAt = 0): Attempt => {
+    const slice = new Slice({ name: 's', spec: of, at: 0, from: 0, count: 9, settled: '' }, false);
+    const key = `${of.id}#${String(number)}`;
+    const rest = { state: 'running' as const, phase: 'seen' as const, halting: false, graceS: 0 };
+    const attempt = { key, task: of.id, number, slice, position: number, startedAt, ...rest };
+    attach(m, attempt);
+    return attempt;
+  };
+
+  it('is reckoned again only when the attempts of the machine change', () => {
+    const m = machine('m');
+    assert.equal(room(m)?.cores, 8);
+    assert.equal(room(m), room(m));
+    const attempt = running(m, spec(), 1);
+    assert.equal(room(m)?.cores, 6);
+    detach(m, attempt);
+    assert.deepEqual(room(m), { cores: 8, accelerators: 0, ramGb: 32 });
+  });
+
+  it('is made by stopping the fewest tasks, started last, and counted once for each task that needs it', () => {
+    const low = spec({ urgenza: 'low', cores: 4 });
+    const [one, two] = [machine('one'), machine('two')];
+    const older = [running(one, low, 1, 10), running(one, low, 2, 20)];
+    running(two, low, 3, 30);
+    running(two, spec({ urgenza: 'critical', cores: 4 }), 4, 40);
+    const evictor = new Evictor(spec({ urgenza: 'urgent', cores: 4 }), [one, two], new Map());
+    assert.deepEqual(evictor.next()?.victims, [two.attempts.get('j-1#3')]);
+    assert.deepEqual(evictor.next()?.victims, [older[1]]);
+    assert.deepEqual(evictor.next()?.victims, [older[0]]);
+    assert.equal(evictor.next(), null);
+  });
+});
+
+describe('lateness', () => {
+  it('is noted when a wait took much longer than it should, and is over when waits are in time again', async () => {
+    let now = 0;
+    let delay = 0;
+    const end = new AbortController();
+    const waits: (() => void)[] = [];
+    const clock = { now: () => now, sleep: () => new Promise<void>((resolve) => waits.push(resolve)) };
+    const lateness = new Lateness(clock);
+    void lateness.run(end.signal);
+    const pass = async (): Promise<void> => {
+      now += LATENESS_LOOK_MS + delay;
+      for (const wake of waits.splice(0)) wake();
+      await new Promise((resolve) => setImmediate(resolve));
+    };
+    await pass();
+    assert.equal(lateness.since(0), false);
+    delay = LATE_MS + 1;
+    await pass();
+    assert.equal(lateness.since(0), true);
+    delay = 0;
+    const after = now + 1;
+    await pass();
+    assert.equal(lateness.since(after), false);
+    end.abort();
+    await pass();
+  });
+});
+
 describe('ownership', () => {
   it('conditions transactions on the record that made this node the owner, not on a successor’s', () => {
     let version = 5;
