--- a/src/constants.ts
+++ b/src/constants.ts
@@ -95,6 +95,11 @@
  * so long that it loses its own lease, and the parts go round; those asked late often report before.
  */
 export const FENCES_PER_CPU_S = 500;
+/**
+ * Milliseconds a new owner waits for machines to report before it asks them. Where the owner before is gone they
+ * try the others every second, and only a report renews a lease: asking meanwhile takes the time to answer them.
+ */
+export const FENCE_AFTER_MS = 1000;
 /** Machines not fenced yet up to which a part counts as taken over: a few that are gone must not hold others up. */
 export const FEW_UNFENCED = 12;
 /** Tries to fence a machine after which it is returned, if most of the part's machines have been fenced. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -102,6 +102,8 @@
   private readonly handovers = new Map<string, Handover>();
   private readonly proofMs: number;
   private readonly lateness: Lateness;
+  /** Aborted, and replaced, whenever who owns what or who is up changes. */
+  private owners = endless();
   /** Calls to machines not fenced yet that may still be made in this tick, by all parts together. */
   private fences = 0;
   private asks = 0;
@@ -190,7 +192,8 @@
   private onChange(change: LiveRecord, version: Int): void {
     switch (change.kind) {
       case 'node':
-        return this.membership.onNode(change.name, change.record);
+        this.membership.onNode(change.name, change.record);
+        return this.wakeReports();
       case 'part':
         this.membership.onPart(change.part, change.record);
         // While loading, the part's machines and slices are still to come.
@@ -248,9 +251,10 @@
       this.cloud.setShare(this.owned.size / this.parts.names.length);
       this.deps.log.info({ part: name, to: record?.owner ?? null }, 'part given up');
     }
+    this.wakeReports();
     if (!mine || this.owned.has(name)) return;
     const { settings, clock, random, log, http } = this.deps;
-    const abort = new AbortController();
+    const abort = endless();
     const ends = AbortSignal.any([this.deps.signal, abort.signal]);
     setMaxListeners(0, ends); // every open call of the part listens
     const slices = [...this.openJobs.jobs.values()].flatMap((job) => this.openJobs.given(job, name));
@@ -305,6 +309,13 @@
     this.cloud.setShare(this.owned.size / this.parts.names.length);
   }
 
+  private wakeReports(): void {
+    // After this turn: a part that begins now is there by then.
+    const { owners } = this;
+    this.owners = endless();
+    setImmediate(() => owners.abort());
+  }
+
   private mayAct(): boolean {
     return this.deps.clock.now() - this.replica.provenAt < this.proofMs;
   }
@@ -376,8 +387,10 @@
         return { kind: 'elsewhere', node: record.owner };
       }
       // The part is between two owners, or its records are being read: most often over in a moment.
-      if (this.deps.clock.now() - began >= REPORT_HOLD_MS) return { kind: 'elsewhere', node: null };
-      await this.deps.clock.sleep(RETRY_MS, this.deps.signal);
+      const left = began + REPORT_HOLD_MS - this.deps.clock.now();
+      if (left <= 0) return { kind: 'elsewhere', node: null };
+      // Woken by a change of owners: after a crash hundreds of reports are held.
+      await this.deps.clock.sleep(left, this.owners.signal);
     }
   }
 
@@ -634,6 +647,13 @@
   }
 }
 
+/** A controller whose signal any number of calls may listen to. */
+function endless(): AbortController {
+  const abort = new AbortController();
+  setMaxListeners(0, abort.signal);
+  return abort;
+}
+
 function keep<T>(
   pages: Map<string, KnownPages<T>>,
   part: string,
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -4,6 +4,7 @@
   COMMAND_DEADLINE_MS,
   FAULT_PAUSE_MS,
   FAULTS_TO_DRAIN,
+  FENCE_AFTER_MS,
   FENCE_RETRY_MAX_MS,
   FENCE_RETRY_MS,
   FIRST_SESSION,
@@ -167,6 +168,7 @@
         const machine = newMachine(id, each, now);
         machine.recorded = true;
         machine.suspect = true;
+        machine.nextFenceAt = now + FENCE_AFTER_MS;
         machine.type = context.typeOf(each.type);
         // The owner before may have answered reports for as long as it could believe in its ownership.
         machine.answeredAt = now + context.proofMs;
--- a/src/main.ts
+++ b/src/main.ts
@@ -70,19 +70,22 @@
   { version: manifest.version, incarnation, zone: settings.zone, listen: settings.listen },
   'starting',
 );
-try {
-  mesh = await startMesh({
-    name: settings.node,
-    listen: settings.meshListen,
-    peers: settings.siblings.map((s) => ({ name: s.name, address: s.mesh })),
-    clock: systemClock,
-    signal: stop.signal,
-    onMessage: (from, message) => controller.onMessage(from, message),
-    onConnect: () => controller.onConnect(),
-  });
-  await serveHttp(httpApi(controller), settings.listen, stop.signal);
-} catch (error) {
-  fail(String(error instanceof Error ? error.message : error));
+async function main(): Promise<void> {
+  try {
+    mesh = await startMesh({
+      name: settings.node,
+      listen: settings.meshListen,
+      peers: settings.siblings.map((s) => ({ name: s.name, address: s.mesh })),
+      clock: systemClock,
+      signal: stop.signal,
+      onMessage: (from, message) => controller.onMessage(from, message),
+      onConnect: () => controller.onConnect(),
+    });
+    await serveHttp(httpApi(controller), settings.listen, stop.signal);
+  } catch (error) {
+    fail(String(error instanceof Error ? error.message : error));
+  }
+  await controller.run();
+  log.info({}, 'stopped');
 }
-await controller.run();
-log.info({}, 'stopped');
+void main();
