--- a/src/constants.ts
+++ b/src/constants.ts
@@ -63,9 +63,15 @@
  * Milliseconds that a node which is still asking the machines of one part waits before it takes another that is
  * not its own: a node that ended is often back by then, and one that takes all at once serves none of them.
  */
-export const BUSY_MS = 4000;
+export const BUSY_MS = 10_000;
 /** Milliseconds a zone's own node must have been up before a part is handed back to it. */
 export const HANDBACK_AFTER_MS = 3000;
+/** Milliseconds between looks at whether this process is late. */
+export const LATENESS_LOOK_MS = 100;
+/** Milliseconds after its time at which a timer counts as late: several such waits stay within a call's deadline. */
+export const LATE_MS = 250;
+/** Milliseconds without lateness after which a node has processor time for more than what reaches it. */
+export const IN_TIME_MS = 500;
 /** Milliseconds between tries to reach a part that could not be reached. */
 export const REACH_MS = 2000;
 /** Machines asked in such a try. */
@@ -84,14 +90,29 @@
 /** Milliseconds. The longest pause between such tries: a part that is cut off must not keep its owner busy. */
 export const FENCE_RETRY_MAX_MS = 5000;
 /**
- * Machines of a part asked at once to accept a new owner. Hundreds at once take a controller's processor for
+ * Machines that a node asks to accept it as their new owner, for each second of processor time it has: at about
+ * a millisecond each (a connection, a call, a report), that is half of its time. Hundreds at once take it for
  * so long that it loses its own lease, and the parts go round; those asked late often report before.
  */
-export const FENCE_BATCH = 12;
+export const FENCES_PER_CPU_S = 500;
+/**
+ * Milliseconds a new owner waits for machines to report before it asks them. Where the owner before is gone they
+ * try the others every second, and only a report renews a lease: asking meanwhile takes the time to answer them.
+ */
+export const FENCE_AFTER_MS = 1000;
+/** Machines not fenced yet up to which a part counts as taken over: a few that are gone must not hold others up. */
+export const FEW_UNFENCED = 12;
 /** Tries to fence a machine after which it is returned, if most of the part's machines have been fenced. */
 export const FENCE_TRIES = 2;
 /** The session that a worker begins with. */
 export const FIRST_SESSION = 1;
+/**
+ * Milliseconds for which the order to forget a finished task waits for another order to travel with: carried out
+ * alone, it is a change that the machine reports by itself, a report more for every task.
+ */
+export const FORGET_MS = 20_000;
+/** Finished tasks of a machine that are forgotten at once: each one makes every report of it longer. */
+export const FORGET_MOST = 12;
 /** Milliseconds a report may wait for a part that is just being taken over; workers give up after 4 s. */
 export const REPORT_HOLD_MS = 1500;
 /** Report intervals of silence after which a machine is asked directly. */
@@ -164,6 +185,8 @@
 export const MESH_RETRY_MS = 500;
 /** Bytes. The largest frame between siblings; a user's body and its envelope fit with room. */
 export const MESH_FRAME_BYTES = 1024 * 1024;
+/** Bytes of names and bits in a handover of a part; half of a frame, so that it fits with its signs. */
+export const HANDOVER_BYTES = MESH_FRAME_BYTES / 2;
 /** Milliseconds a sibling has to answer a request passed on to it. */
 export const FORWARD_DEADLINE_MS = 900;
 
@@ -187,6 +210,11 @@
 export const FINAL_CACHE = 20_000;
 /** Milliseconds without proof of contact after which a sibling is asked before the state service. */
 export const CONTACT_STALE_MS = 3000;
+/**
+ * Milliseconds a poll waits for the follow that serves it before it is read by itself; users wait 2 s. A follow
+ * in a stream of changes is back within 0.2 s.
+ */
+export const POLL_WAIT_MS = 400;
 /** Groups in which the tasks of a very large job are shared out, so that it does not hold the process up. */
 export const SHARING_GROUPS = 1000;
 /** Tries of a withdrawal against a job that ends at the same time. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -4,7 +4,9 @@
   CLOUD_DEADLINE_MS,
   CLOCK_DRIFT,
   COMMAND_DEADLINE_MS,
-  FENCE_BATCH,
+  FENCES_PER_CPU_S,
+  FEW_UNFENCED,
+  IN_TIME_MS,
   FINISH_STEP_MS,
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
@@ -36,12 +38,13 @@
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
-import { decodeMesh, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
+import { decodeMesh, type Handover, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
 import { stateApi } from '../protocol/state.ts';
 import type { JobSpec, UserAnswer } from '../protocol/users.ts';
 import { type Report, workerPaths } from '../protocol/workers.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
+import { Lateness } from '../transport/lateness.ts';
 import type { HttpClient } from '../transport/http-client.ts';
 import type { Random } from '../transport/random.ts';
 import { type Log, routine } from '../transport/routine.ts';
@@ -95,7 +98,14 @@
   private readonly progressPages = new Map<string, KnownPages<ProgressRecord>>();
   private finishing = false;
   private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
+  /** What the last owner before told of each part. */
+  private readonly handovers = new Map<string, Handover>();
   private readonly proofMs: number;
+  private readonly lateness: Lateness;
+  /** Aborted, and replaced, whenever who owns what or who is up changes. */
+  private owners = endless();
+  /** Calls to machines not fenced yet that may still be made in this tick, by all parts together. */
+  private fences = 0;
   private asks = 0;
   private types: MachineType[] | null = null;
   private order: { at: number; jobs: Map<string, number> } = { at: -Infinity, jobs: new Map() };
@@ -106,6 +116,7 @@
     const nodes = settings.siblings.length + 1;
     this.parts = partMap(settings.zones, nodes);
     this.averages = new Averages(clock);
+    this.lateness = new Lateness(clock);
     const api = stateApi(http, settings.state, STATE_DEADLINE_MS, signal);
     this.store = new Store(api, clock, { rps: settings.stateRps, writeRps: settings.stateWriteRps, nodes });
     this.replica = new Replica(
@@ -126,7 +137,7 @@
       store: this.store,
       replica: this.replica,
       parts: this.parts,
-      busy: () => [...this.owned.values()].some(({ part }) => part.unfenced > FENCE_BATCH),
+      busy: () => [...this.owned.values()].some(({ part }) => part.unfenced > FEW_UNFENCED),
     });
     this.limits = new Limits(settings.teams, this.parts.names);
     this.cloud = new CloudCalls(
@@ -147,6 +158,7 @@
       averages: this.averages,
       parts: this.parts,
       catalog: () => this.types,
+      openSpec: (job) => this.openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => this.progress(job),
       passOn: (op, body) => this.passOn(op, body),
     });
@@ -163,6 +175,7 @@
     const { clock, log, signal } = this.deps;
     const duty = { clock, log, signal };
     await Promise.all([
+      this.lateness.run(signal),
       this.replica.run(signal),
       this.membership.run(signal),
       routine('parts', OWNERSHIP_TICK_MS, duty, () => this.tickParts()),
@@ -179,7 +192,8 @@
   private onChange(change: LiveRecord, version: Int): void {
     switch (change.kind) {
       case 'node':
-        return this.membership.onNode(change.name, change.record);
+        this.membership.onNode(change.name, change.record);
+        return this.wakeReports();
       case 'part':
         this.membership.onPart(change.part, change.record);
         // While loading, the part's machines and slices are still to come.
@@ -229,12 +243,18 @@
     if (current && (!mine || current.part.token !== record.token)) {
       current.abort.abort();
       this.owned.delete(name);
+      // Told only now that nothing more is started here; a later owner than the next could not rely on it.
+      if (record && !mine && record.token === current.part.token + 1) {
+        const free = current.part.freeTasks();
+        this.deps.sendToSibling(record.owner, { kind: 'handover', part: name, token: record.token, free });
+      }
       this.cloud.setShare(this.owned.size / this.parts.names.length);
       this.deps.log.info({ part: name, to: record?.owner ?? null }, 'part given up');
     }
+    this.wakeReports();
     if (!mine || this.owned.has(name)) return;
     const { settings, clock, random, log, http } = this.deps;
-    const abort = new AbortController();
+    const abort = endless();
     const ends = AbortSignal.any([this.deps.signal, abort.signal]);
     setMaxListeners(0, ends); // every open call of the part listens
     const slices = [...this.openJobs.jobs.values()].flatMap((job) => this.openJobs.given(job, name));
@@ -256,6 +276,8 @@
         typeOf: (type) => this.types?.find((t) => t.name === type) ?? null,
         servingOrder: () => this.servingOrder(),
         mayAct: () => this.mayAct(),
+        lateSince: (at) => this.lateness.since(at),
+        takeFence: () => this.fences-- > 0,
         proofMs: this.proofMs,
         onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
       },
@@ -281,10 +303,19 @@
       { part: name, token: record.token, machines: part.machines.size, slices: slices.length },
       'part owned',
     );
+    const handover = this.handovers.get(name);
+    if (handover) part.takeOver(handover);
     part.tick();
     this.cloud.setShare(this.owned.size / this.parts.names.length);
   }
 
+  private wakeReports(): void {
+    // After this turn: a part that begins now is there by then.
+    const { owners } = this;
+    this.owners = endless();
+    setImmediate(() => owners.abort());
+  }
+
   private mayAct(): boolean {
     return this.deps.clock.now() - this.replica.provenAt < this.proofMs;
   }
@@ -356,8 +387,10 @@
         return { kind: 'elsewhere', node: record.owner };
       }
       // The part is between two owners, or its records are being read: most often over in a moment.
-      if (this.deps.clock.now() - began >= REPORT_HOLD_MS) return { kind: 'elsewhere', node: null };
-      await this.deps.clock.sleep(RETRY_MS, this.deps.signal);
+      const left = began + REPORT_HOLD_MS - this.deps.clock.now();
+      if (left <= 0) return { kind: 'elsewhere', node: null };
+      // Woken by a change of owners: after a crash hundreds of reports are held.
+      await this.deps.clock.sleep(left, this.owners.signal);
     }
   }
 
@@ -372,6 +405,10 @@
     switch (message?.kind) {
       case 'part':
         return this.averages.set(message, false);
+      case 'handover':
+        // It may be here before the record that makes this node the owner.
+        this.handovers.set(message.part, message);
+        return this.owned.get(message.part)?.part.takeOver(message);
       case 'ask':
         return void this.answerSibling(from, message);
       case 'answer': {
@@ -490,6 +527,10 @@
 
   private tickParts(): void {
     void this.finishJobs();
+    // A node that is late first serves what reaches it: most machines report by themselves.
+    const inTime = !this.lateness.since(this.deps.clock.now() - IN_TIME_MS);
+    const perTick = (FENCES_PER_CPU_S * this.deps.settings.cores * OWNERSHIP_TICK_MS) / 1000;
+    this.fences = inTime ? Math.ceil(perTick) : 0;
     for (const [name, owned] of this.owned) {
       owned.part.tick();
       this.tell(name, owned);
@@ -606,6 +647,13 @@
   }
 }
 
+/** A controller whose signal any number of calls may listen to. */
+function endless(): AbortController {
+  const abort = new AbortController();
+  setMaxListeners(0, abort.signal);
+  return abort;
+}
+
 function keep<T>(
   pages: Map<string, KnownPages<T>>,
   part: string,
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -1,9 +1,11 @@
 import { setMaxListeners } from 'node:events';
+import { MAX_BODY_BYTES } from '../src/constants.ts';
 import { Controller } from '../src/coordination/controller.ts';
 import { httpApi } from '../src/protocol/http-api.ts';
 import { parseJson } from '../src/protocol/json.ts';
 import type { MeshMessage } from '../src/protocol/mesh.ts';
 import { readSettings } from '../src/settings.ts';
+import type { HttpReply } from '../src/transport/http-server.ts';
 import { seededRandom } from '../src/transport/random.ts';
 import { FakeClock, FakeCloud, FakeNetwork, FakeState, FakeWorker, settle, silentLog } from './fakes.ts';
 
@@ -156,26 +158,23 @@
       }
       const sentAt = this.clock.now();
       const session = worker.session;
-      const response = await node.app.request('/checkin', {
-        method: 'POST',
-        body: JSON.stringify(worker.report()),
-      });
-      const body = (await response.json()) as Record<string, unknown>;
+      const report = JSON.stringify(worker.report());
+      const response = await node.app({ method: 'POST', path: '/checkin', body: report });
+      const body = JSON.parse(response.body) as Record<string, unknown>;
       if (response.status === 200) worker.answered(sentAt, session, body as never);
       else if (response.status === 421 && typeof body['riferisce_a'] === 'string') at = body['riferisce_a'];
       else at = next();
     }
   }
 
-  private async call(zone: string, path: string, init?: RequestInit): Promise<Answer> {
-    const promise = (async () => await this.node(zone).app.request(path, init))();
-    let response: Response | null = null;
-    void promise.then((r) => (response = r));
+  private async call(zone: string, path: string, method = 'GET', text = ''): Promise<Answer> {
+    const body = Buffer.byteLength(text) > MAX_BODY_BYTES ? null : text; // as the transport hands it on
+    const promise = (async () => await this.node(zone).app({ method, path, body }))();
+    let answered = false;
+    void promise.then(() => (answered = true));
     await settle();
-    for (let i = 0; i < 40 && response === null; i++) await this.clock.pass(100);
-    const final = await promise;
-    const text = await final.text();
-    return { status: final.status, body: (text === '' ? {} : parseJson(text)) as Record<string, unknown> };
+    for (let i = 0; i < 40 && !answered; i++) await this.clock.pass(100);
+    return answerOf(await promise);
   }
 
   submit(zone: string, id: string, tasks: number, more: object = {}): Promise<Answer> {
@@ -183,10 +182,12 @@
   }
 
   post(zone: string, body: unknown): Promise<Answer> {
-    return this.call(zone, '/v1/jobs', {
-      method: 'POST',
-      body: typeof body === 'string' ? body : JSON.stringify(body),
-    });
+    return this.call(zone, '/v1/jobs', 'POST', typeof body === 'string' ? body : JSON.stringify(body));
+  }
+
+  /** A poll that is not waited for while time passes. */
+  async ask(zone: string, id: string): Promise<Answer> {
+    return answerOf(await this.node(zone).app({ method: 'GET', path: `/v1/jobs/${id}`, body: '' }));
   }
 
   poll(zone: string, id: string): Promise<Answer> {
@@ -194,7 +195,7 @@
   }
 
   withdraw(zone: string, id: string): Promise<Answer> {
-    return this.call(zone, `/v1/jobs/${id}/withdraw`, { method: 'POST' });
+    return this.call(zone, `/v1/jobs/${id}/withdraw`, 'POST');
   }
 
   /** Makes calls of a node to an address fail; `state` stands for the state service. */
@@ -213,6 +214,11 @@
   }
 }
 
+function answerOf(reply: HttpReply): Answer {
+  const body = reply.body === '' ? {} : parseJson(reply.body);
+  return { status: reply.status, body: body as Record<string, unknown> };
+}
+
 export function job(id: string, tasks: number): Record<string, unknown> {
   return {
     id,
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -100,13 +100,15 @@
   /** Work asked of the service, as its limits count it. */
   requests = 0;
   changes = 0;
+  /** Reads of a single key. */
+  reads = 0;
   private revision = 1;
   private leases = new Map<number, { life: number; until: number }>();
   private history: ({ put: string; v: unknown; edizione: number } | { remove: string; edizione: number })[] =
     [];
   private nextLease = 1;
 
-  constructor(private readonly clock: FakeClock) {}
+  constructor(private readonly clock: Clock) {}
 
   read(key: string): unknown {
     return this.data.get(key)?.v;
@@ -149,6 +151,7 @@
     if (url.pathname === '/follow') return this.follow(url);
     if (url.pathname === '/kv') return this.list(url);
     if (method === 'GET' && url.pathname.startsWith('/kv/')) {
+      this.reads++;
       const key = url.pathname.slice(4);
       const stored = this.data.get(key);
       if (!stored) return { status: 404, body: { protocollo: this.revision } };
@@ -225,22 +228,20 @@
   tasks: ReportedTask[] = [];
   /** Every task ever started here, with the time. */
   readonly started: { task: string; attempt: number; at: number }[] = [];
+  address: string;
   private answeredAt: number;
 
   constructor(
     readonly id: string,
     readonly zone: string,
-    private readonly clock: FakeClock,
+    private readonly clock: Clock,
     private readonly leaseMs: number,
     readonly spot = false,
   ) {
+    this.address = `worker-${id}:1`;
     this.answeredAt = clock.now();
   }
 
-  get address(): string {
-    return `worker-${this.id}:1`;
-  }
-
   running(): string[] {
     this.checkLease();
     return this.tasks.filter((t) => t.stato !== 'ended').map((t) => t.pratica);
