--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -468,7 +468,7 @@
       part: name,
       token: part.token,
       idle,
-      wants: Object.fromEntries(part.wants),
+      wants: Object.fromEntries(part.usage.wants),
       running: part.running(),
       coming: owned.renting.coming(now),
       ...summary,
@@ -613,9 +613,9 @@
     const split = this.limits.split(team);
     const own = split.shares[part.name];
     const other = split.shares[to];
-    if (!own || !other || part.holdsBack(team)) return;
-    const used = part.usage(team);
-    const lacks = part.wants.get(team);
+    if (!own || !other || part.usage.holdsBack(team)) return;
+    const used = part.usage.of(team);
+    const lacks = part.usage.wants.get(team);
     const spare = (share: number, use: number, lack: number, want: number): number =>
       Math.max(0, Math.min(want, share - use - lack));
     const give = {
@@ -630,11 +630,14 @@
         [to]: { cores: other.cores + give.cores, accelerators: other.accelerators + give.accelerators },
       },
     };
-    const conditions = [part.ownership(), { key, version: this.replica.version(key) }];
-    part.holdBack(team, give);
+    const conditions = [part.records.ownership(), { key, version: this.replica.version(key) }];
+    part.usage.holdBack(team, give);
     try {
       const result = await this.store.txn(conditions, [{ op: 'put', key, value }], 'work');
-      if (result.kind !== 'committed') part.holdBack(team, null);
+      if (result.kind !== 'committed') {
+        part.usage.holdBack(team, null);
+        part.schedulePlacing();
+      }
       this.deps.log.debug({ team, from: part.name, to, ...give, result: result.kind }, 'limit shifted');
     } catch {
       // Unknown: the share stays held back until the condition's version has moved on.
--- /dev/null
+++ b/src/coordination/part-records.ts
@@ -0,0 +1,196 @@
+import { PAGE_BYTES, PROGRESS_MS, PROGRESS_SOON_MS } from '../constants.ts';
+import type { Machine } from '../bookkeeping/machines.ts';
+import { type Page, Pages } from '../bookkeeping/pages.ts';
+import {
+  type MachineRecord,
+  type MachinesRecord,
+  machinesPrefix,
+  partKey,
+  type ProgressRecord,
+  progressPrefix,
+} from '../bookkeeping/records.ts';
+import type { Slice } from '../bookkeeping/slices.ts';
+import type { Lane, Replica, Store } from '../bookkeeping/store.ts';
+import { TaskSet } from '../bookkeeping/task-set.ts';
+import type { Int } from '../protocol/json.ts';
+import { type Condition, StateRefused } from '../protocol/state.ts';
+import type { Clock } from '../transport/clock.ts';
+import type { Log } from '../transport/routine.ts';
+
+/** Bytes of a progress entry at its longest: six tasks a character, the name, and the signs around them. */
+const entryBytes = (name: string, tasks: number): number => Math.ceil(tasks / 6) + name.length + 12;
+
+const machineRecord = (m: Machine): MachineRecord => ({
+  endpoint: m.endpoint,
+  type: m.typeName,
+  zone: m.zone,
+  spot: m.spot,
+});
+const machineBytes = (id: string, record: MachineRecord): number =>
+  JSON.stringify(record).length + id.length + 8;
+
+export interface PartRecordsContext {
+  clock: Clock;
+  log: Log;
+  store: Store;
+  replica: Replica;
+  valueKb: number;
+  machines: Map<string, Machine>;
+  slices: Map<string, Slice>;
+  /** Machines that may be given tasks now. */
+  onMachinesRecorded: () => void;
+}
+
+/** The pages that a part's owner writes: its machines and its progress. */
+export class PartRecords {
+  private readonly ownedVersion: Int;
+  private readonly machinePages: Pages;
+  private readonly progressPages: Pages;
+  private recordingMachines = false;
+  private recordingProgress = false;
+  private progressAt = -Infinity;
+
+  constructor(
+    private readonly part: string,
+    private readonly context: PartRecordsContext,
+    private readonly signal: AbortSignal,
+    before: { machines: [string, MachinesRecord, Int][]; progress: [string, ProgressRecord, Int][] },
+  ) {
+    this.ownedVersion = context.replica.version(partKey(part));
+    const limit = Math.min(PAGE_BYTES, context.valueKb * 768);
+    this.machinePages = new Pages(machinesPrefix(part), limit);
+    this.progressPages = new Pages(progressPrefix(part), limit);
+    for (const [key, record, version] of before.machines) {
+      const entries = Object.entries(record.machines);
+      this.machinePages.restore(
+        key,
+        version,
+        entries.map(([id, each]) => [id, machineBytes(id, each)]),
+      );
+    }
+    for (const [key, record, version] of before.progress) {
+      const names = Object.keys(record.settled);
+      this.progressPages.restore(
+        key,
+        version,
+        names.map((each) => [each, entryBytes(each, context.slices.get(each)?.count ?? 0)]),
+      );
+      // Of jobs that are over: they leave the page at its next write.
+      for (const each of names) if (!context.slices.has(each)) this.progressPages.remove(each);
+    }
+  }
+
+  private get active(): boolean {
+    return !this.signal.aborted;
+  }
+
+  /**
+   * The condition that makes a stale owner's transaction, or a late one, fail. It names the record that made
+   * this node the owner: the newest known may be a successor's by the time a transaction is sent.
+   */
+  ownership(): Condition {
+    return { key: partKey(this.part), version: this.ownedVersion };
+  }
+
+  /** The machine is gone: it leaves its page at the next write. */
+  dropMachine(id: string): void {
+    this.machinePages.remove(id);
+  }
+
+  dropSlice(name: string): void {
+    this.progressPages.remove(name);
+  }
+
+  /** A task of the slice is settled. */
+  noteSettled(slice: Slice): void {
+    this.progressPages.touch(slice.name, entryBytes(slice.name, slice.count), slice.settled.full);
+    this.recordProgress();
+  }
+
+  /** One recorder at a time; it goes on until nothing is due. */
+  recordMachines(): void {
+    for (const m of this.context.machines.values()) {
+      if (!m.recorded && !m.returning)
+        this.machinePages.touch(m.id, machineBytes(m.id, machineRecord(m)), false);
+    }
+    if (this.recordingMachines || !this.active) return;
+    this.recordingMachines = true;
+    void this.writeAll(() => this.writeMachines()).finally(() => (this.recordingMachines = false));
+  }
+
+  recordProgress(): void {
+    if (this.recordingProgress || !this.active) return;
+    this.recordingProgress = true;
+    void this.writeAll(() => this.writeProgress()).finally(() => (this.recordingProgress = false));
+  }
+
+  private async writeAll(write: () => Promise<boolean>): Promise<void> {
+    try {
+      while (this.active && (await write()));
+    } catch (error) {
+      this.context.log.debug({ part: this.part, err: String(error) }, 'not recorded yet');
+    }
+  }
+
+  private async writeMachines(): Promise<boolean> {
+    const page = this.machinePages.next(false);
+    if (!page) return false;
+    const written: Machine[] = [];
+    const machines: Record<string, MachineRecord> = {};
+    for (const id of page.names.keys()) {
+      const m = this.context.machines.get(id);
+      if (!m) continue;
+      written.push(m);
+      machines[id] = machineRecord(m);
+    }
+    if (!(await this.writePage(page, { machines }, 'ownership'))) return false;
+    for (const machine of written) machine.recorded = true;
+    this.context.onMachinesRecorded();
+    return true;
+  }
+
+  private async writeProgress(): Promise<boolean> {
+    const since = this.context.clock.now() - this.progressAt;
+    if (since < PROGRESS_SOON_MS) return false;
+    const page = this.progressPages.next(since < PROGRESS_MS);
+    if (!page) return false;
+    this.progressAt = this.context.clock.now();
+    const urgent = page.urgent;
+    const written: [Slice, string][] = [];
+    for (const name of page.names.keys()) {
+      const slice = this.context.slices.get(name);
+      if (slice) written.push([slice, slice.settled.encode()]);
+    }
+    const settled = Object.fromEntries(written.map(([slice, encoded]) => [slice.name, encoded]));
+    // What makes a job done goes with the users' calls: somebody waits for it.
+    if (!(await this.writePage(page, { settled }, urgent ? 'user' : 'work'))) return false;
+    for (const [slice, encoded] of written) slice.recorded = new TaskSet(slice.count, encoded);
+    return true;
+  }
+
+  /**
+   * Each write names the version that it replaces, so that one delivered late cannot undo a newer one. A
+   * page whose write had no answer, or found another version, stays dirty, and the replica tells its version.
+   */
+  private async writePage(page: Page, value: MachinesRecord | ProgressRecord, lane: Lane): Promise<boolean> {
+    const { urgent } = page;
+    const version = page.version ?? this.context.replica.version(page.key);
+    const conditions = [this.ownership(), { key: page.key, version }];
+    page.dirty = false;
+    page.urgent = false;
+    page.version = null;
+    try {
+      const result = await this.context.store.txn(conditions, [{ op: 'put', key: page.key, value }], lane);
+      if (result.kind === 'committed') page.version = result.revision;
+    } catch (error) {
+      if (error instanceof StateRefused) page.version = version; // it was not carried out
+      throw error;
+    } finally {
+      if (page.version === null || page.version === version) {
+        page.dirty = true;
+        page.urgent ||= urgent;
+      }
+    }
+    return page.version !== null;
+  }
+}
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -15,9 +15,6 @@
   NO_MACHINES,
   PLACE_GAP_MS,
   PREEMPT_SLACK_MS,
-  PAGE_BYTES,
-  PROGRESS_MS,
-  PROGRESS_SOON_MS,
   SILENT_REPORTS,
   TASK_RETRY_MAX_MS,
   TASK_RETRY_MS,
@@ -33,24 +30,12 @@
   room,
   useImage,
 } from '../bookkeeping/machines.ts';
-import {
-  type Amounts,
-  type MachineRecord,
-  type MachinesRecord,
-  machinesPrefix,
-  partKey,
-  type ProgressRecord,
-  progressPrefix,
-  quotaKey,
-} from '../bookkeeping/records.ts';
-import { type Page, Pages } from '../bookkeeping/pages.ts';
+import { type Amounts, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
 import { type GivenSlice, Slice } from '../bookkeeping/slices.ts';
-import type { Lane, Replica, Store } from '../bookkeeping/store.ts';
-import { TaskSet } from '../bookkeeping/task-set.ts';
+import type { Replica, Store } from '../bookkeeping/store.ts';
 import type { MachineType } from '../protocol/cloud.ts';
 import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
 import type { Handover } from '../protocol/mesh.ts';
-import { type Condition, StateRefused } from '../protocol/state.ts';
 import {
   decodeReport,
   encodeCommands,
@@ -67,6 +52,8 @@
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Limits } from './limits.ts';
+import { PartRecords } from './part-records.ts';
+import { TeamUsage } from './team-usage.ts';
 import { Chooser, Evictor, Refusals } from './placement.ts';
 import { latestStart } from './waiting.ts';
 
@@ -96,18 +83,6 @@
   onOutdated: (part: string) => void;
 }
 
-/** Bytes of a progress entry at its longest: six tasks a character, the name, and the signs around them. */
-const entryBytes = (name: string, tasks: number): number => Math.ceil(tasks / 6) + name.length + 12;
-
-const machineRecord = (m: Machine): MachineRecord => ({
-  endpoint: m.endpoint,
-  type: m.typeName,
-  zone: m.zone,
-  spot: m.spot,
-});
-const machineBytes = (id: string, record: MachineRecord): number =>
-  JSON.stringify(record).length + id.length + 8;
-
 const attemptKey = (task: string, number: Int): string => `${task}#${String(number)}`;
 
 /**
@@ -119,27 +94,18 @@
   readonly slices = new Map<string, Slice>();
   /** The design's idle list: empty machines, the one appended last at the end. */
   private idle: Machine[] = [];
-  private readonly ownedVersion: Int;
+  readonly records: PartRecords;
+  readonly usage: TeamUsage;
   private counter = 0;
   private outdated = false;
   /** The slices as last put in order, and by what. */
   private ordered: { by: Map<string, number> | null; slices: Slice[] } = { by: null, slices: [] };
-  /** What each team's known tasks take of the machines. */
-  private readonly placedCores = new Map<string, Amounts>();
   private placing = false;
   private placedAt = -Infinity;
   /** Work of lower priority is looked for once a tick, and not at every report. */
   private mayPreempt = false;
   /** Whether any slice still holds tasks that a machine not fenced yet may run. */
   private holding: boolean;
-  private readonly machinePages: Pages;
-  private readonly progressPages: Pages;
-  private recordingMachines = false;
-  private recordingProgress = false;
-  private progressAt = -Infinity;
-  private readonly givingUp = new Map<string, { amounts: Amounts; version: Int }>();
-  /** What each team lacks of its limit here, for the siblings. */
-  wants = new Map<string, Amounts>();
 
   constructor(
     readonly name: string,
@@ -153,18 +119,8 @@
     },
   ) {
     const now = context.clock.now();
-    this.ownedVersion = context.replica.version(partKey(name));
-    const limit = Math.min(PAGE_BYTES, context.settings.valueKb * 768);
-    this.machinePages = new Pages(machinesPrefix(name), limit);
-    this.progressPages = new Pages(progressPrefix(name), limit);
-    for (const [key, record, version] of before.machines) {
-      const entries = Object.entries(record.machines);
-      this.machinePages.restore(
-        key,
-        version,
-        entries.map(([id, each]) => [id, machineBytes(id, each)]),
-      );
-      for (const [id, each] of entries) {
+    for (const [, record] of before.machines) {
+      for (const [id, each] of Object.entries(record.machines)) {
         const machine = newMachine(id, each, now);
         machine.recorded = true;
         machine.suspect = true;
@@ -176,16 +132,25 @@
       }
     }
     for (const given of before.slices) this.slices.set(given.name, new Slice(given, true));
-    for (const [key, record, version] of before.progress) {
-      const names = Object.keys(record.settled);
-      this.progressPages.restore(
-        key,
-        version,
-        names.map((each) => [each, entryBytes(each, this.slices.get(each)?.count ?? 0)]),
-      );
-      // Of jobs that are over: they leave the page at its next write.
-      for (const each of names) if (!this.slices.has(each)) this.progressPages.remove(each);
-    }
+    this.records = new PartRecords(
+      name,
+      {
+        ...context,
+        valueKb: context.settings.valueKb,
+        machines: this.machines,
+        slices: this.slices,
+        onMachinesRecorded: () => this.schedulePlacing(),
+      },
+      signal,
+      before,
+    );
+    this.usage = new TeamUsage(
+      name,
+      [...context.settings.teams.keys()].filter((team) => context.limits.limited(team)),
+      this.machines,
+      context.limits,
+      (key) => context.replica.version(key),
+    );
     this.holding = before.slices.length > 0;
   }
 
@@ -214,7 +179,7 @@
     if (!slice) return;
     this.slices.delete(name);
     this.ordered.by = null;
-    this.progressPages.remove(name);
+    this.records.dropSlice(name);
     slice.withdrawn = true;
     slice.waiting.length = 0;
     slice.pausing.length = 0;
@@ -451,8 +416,7 @@
   private settle(slice: Slice, position: number): void {
     if (slice.spec.kind === 'service') return; // a replica that exits is replaced
     slice.settle(position);
-    this.progressPages.touch(slice.name, entryBytes(slice.name, slice.count), slice.settled.full);
-    this.recordProgress();
+    this.records.noteSettled(slice);
   }
 
   /** Once no suspect machine is left, what is still unaccounted for runs nowhere. */
@@ -641,7 +605,7 @@
 
   /** Gives waiting tasks machines. `answering`: the machine whose report is being answered with its orders. */
   place(answering: Machine | null = null): void {
-    this.wants.clear();
+    this.usage.wants.clear();
     if (!this.mayAct()) return;
     const now = this.context.clock.now();
     this.placedAt = now;
@@ -664,7 +628,7 @@
     const hasRoom = (machine: Machine): boolean => (room(machine)?.cores ?? 0) > 0;
     const roomy = open.filter(hasRoom);
     const among = new Set(roomy);
-    const used = this.usages();
+    const used = this.usage.usages();
     const touched = new Set<Machine>();
     const refusals = new Refusals();
     for (const slice of queue) {
@@ -673,8 +637,8 @@
       let chooser: Chooser | null = null;
       let unplaced = 0;
       while (slice.waiting.length > 0) {
-        if (!this.withinLimit(slice, used)) {
-          if (round !== 'one machine') this.noteWant(slice);
+        if (!this.usage.withinLimit(slice, used)) {
+          if (round !== 'one machine') this.usage.noteWant(slice);
           break;
         }
         if (chooser === null && refusals.cover(spec)) {
@@ -720,7 +684,7 @@
     if (start === Infinity || start - wall > PREEMPT_SLACK_MS) return [];
     const on: Machine[] = [];
     const evictor = new Evictor(slice.spec, open, claimed);
-    for (let i = Math.min(unplaced, this.limitLeft(slice, used)); i > 0; i--) {
+    for (let i = Math.min(unplaced, this.usage.limitLeft(slice, used)); i > 0; i--) {
       const found = evictor.next();
       if (!found) break;
       if (found.victims.length === 0) continue; // room that is being made already
@@ -735,22 +699,13 @@
 
   private attach(machine: Machine, attempt: Attempt): void {
     attach(machine, attempt);
-    this.count(attempt, 1);
+    this.usage.count(attempt, 1);
   }
 
   private detach(machine: Machine, attempt: Attempt): void {
     if (machine.attempts.get(attempt.key) !== attempt) return;
     detach(machine, attempt);
-    this.count(attempt, -1);
-  }
-
-  private count(attempt: Attempt, times: number): void {
-    if (!attempt.slice) return;
-    const { team, cores, accelerators } = attempt.slice.spec;
-    const sum = this.placedCores.get(team) ?? { cores: 0, accelerators: 0 };
-    this.placedCores.set(team, sum);
-    sum.cores += times * cores;
-    sum.accelerators += times * accelerators;
+    this.usage.count(attempt, -1);
   }
 
   private start(machine: Machine, slice: Slice, position: number, now: number): void {
@@ -777,95 +732,6 @@
     if (at >= 0) this.idle.splice(at, 1);
   }
 
-  // --- limits ---
-
-  /** What the team's tasks may use here at most: all that could be on a machine counts. */
-  usage(team: string): Amounts {
-    return this.usages().get(team) ?? { cores: 0, accelerators: 0 };
-  }
-
-  /** The same for every team that has a limit. */
-  private usages(): Map<string, Amounts> {
-    const unknown = { cores: 0, accelerators: 0 };
-    for (const machine of this.machines.values()) {
-      const left = room(machine);
-      if (left && !machine.suspect) continue;
-      // A machine not fenced since the takeover, or one with a task of a job that is over, may be full of any team's tasks.
-      const whole = left ?? machine.type;
-      unknown.cores += Math.max(0, whole?.cores ?? Infinity);
-      unknown.accelerators += Math.max(0, whole?.accelerators ?? Infinity);
-    }
-    const sums = new Map<string, Amounts>();
-    for (const team of this.context.settings.teams.keys()) {
-      if (!this.context.limits.limited(team)) continue;
-      const placed = this.placedCores.get(team);
-      sums.set(team, {
-        cores: unknown.cores + (placed?.cores ?? 0),
-        accelerators: unknown.accelerators + (placed?.accelerators ?? 0),
-      });
-    }
-    return sums;
-  }
-
-  /** Share being given up, until the state service has decided: until then it belongs to nobody. */
-  holdBack(team: string, amounts: Amounts | null): void {
-    if (amounts) this.givingUp.set(team, { amounts, version: this.context.replica.version(quotaKey(team)) });
-    else this.givingUp.delete(team);
-    if (!amounts) this.schedulePlacing();
-  }
-
-  holdsBack(team: string): boolean {
-    const giving = this.givingUp.get(team);
-    // The version it was conditioned on has passed: carried out and in the share now, or never to be.
-    if (giving && giving.version !== this.context.replica.version(quotaKey(team))) this.givingUp.delete(team);
-    return this.givingUp.has(team);
-  }
-
-  private shareOf(team: string): Amounts {
-    const share = this.context.limits.share(team, this.name);
-    const giving = this.holdsBack(team) ? this.givingUp.get(team)?.amounts : undefined;
-    if (!giving) return share;
-    return { cores: share.cores - giving.cores, accelerators: share.accelerators - giving.accelerators };
-  }
-
-  /** How many more of the slice's tasks the team's share here allows. */
-  private limitLeft(slice: Slice, used: Map<string, Amounts>): number {
-    const { team, cores, accelerators } = slice.spec;
-    const sum = used.get(team);
-    if (!sum) return Infinity; // a team without a limit
-    const share = this.shareOf(team);
-    const times = (left: number, each: number): number => (each <= 0 ? Infinity : Math.floor(left / each));
-    return Math.max(
-      0,
-      Math.min(
-        times(share.cores - sum.cores, cores),
-        times(share.accelerators - sum.accelerators, accelerators),
-      ),
-    );
-  }
-
-  private withinLimit(slice: Slice, used: Map<string, Amounts>): boolean {
-    const { team, cores, accelerators } = slice.spec;
-    if (!this.context.limits.limited(team)) return true;
-    const sum = used.get(team) ?? { cores: 0, accelerators: 0 };
-    const share = this.shareOf(team);
-    if (
-      sum.cores + cores <= share.cores + 1e-6 &&
-      sum.accelerators + accelerators <= share.accelerators + 1e-6
-    ) {
-      return true;
-    }
-    return false;
-  }
-
-  private noteWant(slice: Slice): void {
-    const { team, cores, accelerators } = slice.spec;
-    const want = this.wants.get(team) ?? { cores: 0, accelerators: 0 };
-    want.cores += cores * slice.waiting.length;
-    want.accelerators += accelerators * slice.waiting.length;
-    this.wants.set(team, want);
-  }
-
   // --- duties ---
 
   /** Fences, finds the end of leases, wakes pausing tasks, records machines and progress. */
@@ -888,8 +754,8 @@
       slice.wake(now);
       this.schedulePlacing();
     }
-    this.recordMachines();
-    this.recordProgress();
+    this.records.recordMachines();
+    this.records.recordProgress();
     this.mayPreempt = true;
     if ([...this.slices.values()].some((slice) => slice.waiting.length > 0)) this.schedulePlacing();
   }
@@ -941,102 +807,7 @@
     for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
     this.releaseHeld();
     this.schedulePlacing();
-    this.machinePages.remove(machine.id);
-  }
-
-  /**
-   * The condition that makes a stale owner's transaction, or a late one, fail. It names the record that made
-   * this node the owner: the newest known may be a successor's by the time a transaction is sent.
-   */
-  ownership(): Condition {
-    return { key: partKey(this.name), version: this.ownedVersion };
-  }
-
-  /** One recorder at a time; it goes on until nothing is due. */
-  private recordMachines(): void {
-    for (const m of this.machines.values()) {
-      if (!m.recorded && !m.returning)
-        this.machinePages.touch(m.id, machineBytes(m.id, machineRecord(m)), false);
-    }
-    if (this.recordingMachines || !this.active) return;
-    this.recordingMachines = true;
-    void this.writeAll(() => this.writeMachines()).finally(() => (this.recordingMachines = false));
-  }
-
-  private recordProgress(): void {
-    if (this.recordingProgress || !this.active) return;
-    this.recordingProgress = true;
-    void this.writeAll(() => this.writeProgress()).finally(() => (this.recordingProgress = false));
-  }
-
-  private async writeAll(write: () => Promise<boolean>): Promise<void> {
-    try {
-      while (this.active && (await write()));
-    } catch (error) {
-      this.context.log.debug({ part: this.name, err: String(error) }, 'not recorded yet');
-    }
-  }
-
-  private async writeMachines(): Promise<boolean> {
-    const page = this.machinePages.next(false);
-    if (!page) return false;
-    const written: Machine[] = [];
-    const machines: Record<string, MachineRecord> = {};
-    for (const id of page.names.keys()) {
-      const m = this.machines.get(id);
-      if (!m) continue;
-      written.push(m);
-      machines[id] = machineRecord(m);
-    }
-    if (!(await this.writePage(page, { machines }, 'ownership'))) return false;
-    for (const machine of written) machine.recorded = true;
-    this.schedulePlacing();
-    return true;
-  }
-
-  private async writeProgress(): Promise<boolean> {
-    const since = this.context.clock.now() - this.progressAt;
-    if (since < PROGRESS_SOON_MS) return false;
-    const page = this.progressPages.next(since < PROGRESS_MS);
-    if (!page) return false;
-    this.progressAt = this.context.clock.now();
-    const urgent = page.urgent;
-    const written: [Slice, string][] = [];
-    for (const name of page.names.keys()) {
-      const slice = this.slices.get(name);
-      if (slice) written.push([slice, slice.settled.encode()]);
-    }
-    const settled = Object.fromEntries(written.map(([slice, encoded]) => [slice.name, encoded]));
-    // What makes a job done goes with the users' calls: somebody waits for it.
-    if (!(await this.writePage(page, { settled }, urgent ? 'user' : 'work'))) return false;
-    for (const [slice, encoded] of written) slice.recorded = new TaskSet(slice.count, encoded);
-    return true;
-  }
-
-  /**
-   * Each write names the version that it replaces, so that one delivered late cannot undo a newer one. A
-   * page whose write had no answer, or found another version, stays dirty, and the replica tells its version.
-   */
-  private async writePage(page: Page, value: MachinesRecord | ProgressRecord, lane: Lane): Promise<boolean> {
-    const { urgent } = page;
-    const version = page.version ?? this.context.replica.version(page.key);
-    const conditions = [this.ownership(), { key: page.key, version }];
-    page.dirty = false;
-    page.urgent = false;
-    page.version = null;
-    try {
-      const result = await this.context.store.txn(conditions, [{ op: 'put', key: page.key, value }], lane);
-      if (result.kind === 'committed') page.version = result.revision;
-    } catch (error) {
-      if (error instanceof StateRefused) page.version = version; // it was not carried out
-      throw error;
-    } finally {
-      if (page.version === null || page.version === version) {
-        page.dirty = true;
-        page.urgent ||= urgent;
-      }
-    }
-    return page.version !== null;
+    this.records.dropMachine(machine.id);
   }
 
   // --- what others are told ---
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -189,6 +189,7 @@
       clock: new FakeClock(),
       settings: readSettings(platform),
       replica: { version: () => version },
+      limits: { limited: () => false },
     } as unknown as PartContext;
     const part = new Part('a', 1, context, new AbortController().signal, {
       machines: [],
@@ -196,7 +197,7 @@
       slices: [],
     });
     version = 6; // another owner's record arrives while a transaction of this one is being prepared
-    assert.deepEqual(part.ownership(), { key: 'live/part/a', version: 5 });
+    assert.deepEqual(part.records.ownership(), { key: 'live/part/a', version: 5 });
   });
 });
 
