--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -7,7 +7,6 @@
   FENCES_PER_CPU_S,
   FEW_UNFENCED,
   IN_TIME_MS,
-  FINISH_STEP_MS,
   FORWARD_DEADLINE_MS,
   LEASE_MARGIN_MS,
   LIST_MS,
@@ -23,17 +22,8 @@
   RETRY_MS,
   STATE_DEADLINE_MS,
 } from '../constants.ts';
-import {
-  jobKey,
-  type JobRecord,
-  type LiveRecord,
-  type MachinesRecord,
-  openJobKey,
-  type ProgressRecord,
-  quotaKey,
-  type QuotaRecord,
-} from '../bookkeeping/records.ts';
-import { type OpenJob, OpenJobs } from '../bookkeeping/open-jobs.ts';
+import { type LiveRecord, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
+import { OpenJobs } from '../bookkeeping/open-jobs.ts';
 import { Replica, Store } from '../bookkeeping/store.ts';
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
@@ -51,7 +41,9 @@
 import { Averages } from './averages.ts';
 import { CloudCalls } from './cloud-calls.ts';
 import { Jobs, type UserOp } from './jobs.ts';
+import { JobEnds } from './job-ends.ts';
 import { Limits } from './limits.ts';
+import { LimitShifts } from './limit-shifts.ts';
 import { Membership } from './membership.ts';
 import { Part } from './part.ts';
 import { partMap, type PartMap } from './parts.ts';
@@ -92,11 +84,12 @@
   private readonly averages: Averages;
   private readonly jobs: Jobs;
   private readonly cloud: CloudCalls;
+  private readonly jobEnds: JobEnds;
+  private readonly limitShifts: LimitShifts;
   private readonly owned = new Map<string, Owned>();
   private readonly openJobs = new OpenJobs();
   private readonly machines = new Map<string, KnownPages<MachinesRecord>>();
   private readonly progressPages = new Map<string, KnownPages<ProgressRecord>>();
-  private finishing = false;
   private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
   /** What the last owner before told of each part. */
   private readonly handovers = new Map<string, Handover>();
@@ -162,6 +155,18 @@
       progress: (job) => this.progress(job),
       passOn: (op, body) => this.passOn(op, body),
     });
+    const { store, replica, limits, averages, openJobs } = this;
+    const { wallClock } = deps;
+    this.jobEnds = new JobEnds({
+      clock,
+      wallClock,
+      log,
+      store,
+      openJobs,
+      owns: (part) => this.owned.has(part),
+    });
+    const parts = (): Part[] => [...this.owned.values()].map((owned) => owned.part);
+    this.limitShifts = new LimitShifts({ log, store, replica, limits, averages, parts });
     // From its last proof, an owner may answer reports for so long that the lease it renews last, and
     // with it every task of a job cancelled since, is over within the time a cancellation has.
     this.proofMs = Math.max(
@@ -183,7 +188,7 @@
       routine('machine list', LIST_MS, duty, () => this.readMachines()),
       routine('reach', REACH_MS, duty, () => this.tryReach()),
       this.keepCatalog(),
-      routine('limits', QUOTA_SHIFT_MS, duty, () => this.shiftLimits()),
+      routine('limits', QUOTA_SHIFT_MS, duty, () => this.limitShifts.shiftAll()),
     ]);
   }
 
@@ -204,7 +209,8 @@
       case 'progress':
         keep(this.progressPages, change.part, change.key, change.record, version);
         this.openJobs.setProgress(change.key, change.record, this.deps.clock.now());
-        return void this.finishJobs();
+        if (this.loaded) void this.jobEnds.endAll();
+        return;
       case 'job': {
         const { id, record } = change;
         if (record) {
@@ -479,54 +485,8 @@
 
   // --- duties ---
 
-  /**
-   * Ends the jobs all of whose tasks are settled in the records. What is settled stays so, hence any node may:
-   * the owner of the job's first slice does it at once, the others only if that owner does not.
-   */
-  private async finishJobs(): Promise<void> {
-    if (this.finishing || !this.loaded) return;
-    this.finishing = true;
-    try {
-      for (const job of this.openJobs.complete) {
-        const now = this.deps.clock.now();
-        const first = job.record.slices[0]?.part ?? '';
-        if (now < job.nextTryAt) continue;
-        if (!this.owned.has(first) && now - job.completeSince < FINISH_STEP_MS) continue;
-        job.nextTryAt = now + FINISH_STEP_MS; // the replica shows it long before, if it is carried out
-        await this.finish(job);
-      }
-    } finally {
-      this.finishing = false;
-    }
-  }
-
-  private async finish(job: OpenJob): Promise<void> {
-    const { id, record, version } = job;
-    const { tasks, class: of, estimateS } = record.spec;
-    const value: JobRecord = { status: 'done', tasks };
-    try {
-      // Both records were written by the acceptance and have its version until the job is over.
-      const result = await this.store.txn(
-        [
-          { key: jobKey(id), version },
-          { key: openJobKey(id), version },
-        ],
-        [
-          { op: 'put', key: jobKey(id), value },
-          { op: 'delete', key: openJobKey(id) },
-        ],
-        'user',
-      );
-      const tookS = Math.round((this.deps.wallClock() - record.at) / 1000);
-      this.deps.log.debug({ job: id, class: of, tasks, estimateS, tookS, result: result.kind }, 'job done');
-    } catch (error) {
-      job.nextTryAt = this.deps.clock.now() + RETRY_MS;
-      this.deps.log.debug({ job: id, err: String(error) }, 'job not ended yet');
-    }
-  }
-
   private tickParts(): void {
-    void this.finishJobs();
+    if (this.loaded) void this.jobEnds.endAll();
     // A node that is late first serves what reaches it: most machines report by themselves.
     const inTime = !this.lateness.since(this.deps.clock.now() - IN_TIME_MS);
     const perTick = (FENCES_PER_CPU_S * this.deps.settings.cores * OWNERSHIP_TICK_MS) / 1000;
@@ -589,61 +549,6 @@
     }
   }
 
-  /** Gives share of teams' limits up to parts that lack it: given up first, taken after the commit. */
-  private async shiftLimits(): Promise<void> {
-    for (const [name, { part }] of this.owned) {
-      for (const message of this.averages.all()) {
-        if (message.part === name) continue;
-        for (const [team, want] of Object.entries(message.wants)) {
-          await this.shiftLimit(part, message.part, team, want.cores, want.accelerators);
-        }
-      }
-    }
-  }
-
-  private async shiftLimit(
-    part: Part,
-    to: string,
-    team: string,
-    cores: number,
-    accelerators: number,
-  ): Promise<void> {
-    if (!this.limits.limited(team) || !part.active) return;
-    const key = quotaKey(team);
-    const split = this.limits.split(team);
-    const own = split.shares[part.name];
-    const other = split.shares[to];
-    if (!own || !other || part.usage.holdsBack(team)) return;
-    const used = part.usage.of(team);
-    const lacks = part.usage.wants.get(team);
-    const spare = (share: number, use: number, lack: number, want: number): number =>
-      Math.max(0, Math.min(want, share - use - lack));
-    const give = {
-      cores: spare(own.cores, used.cores, lacks?.cores ?? 0, cores),
-      accelerators: spare(own.accelerators, used.accelerators, lacks?.accelerators ?? 0, accelerators),
-    };
-    if (give.cores <= 0 && give.accelerators <= 0) return;
-    const value: QuotaRecord = {
-      shares: {
-        ...split.shares,
-        [part.name]: { cores: own.cores - give.cores, accelerators: own.accelerators - give.accelerators },
-        [to]: { cores: other.cores + give.cores, accelerators: other.accelerators + give.accelerators },
-      },
-    };
-    const conditions = [part.records.ownership(), { key, version: this.replica.version(key) }];
-    part.usage.holdBack(team, give);
-    try {
-      const result = await this.store.txn(conditions, [{ op: 'put', key, value }], 'work');
-      if (result.kind !== 'committed') {
-        part.usage.holdBack(team, null);
-        part.schedulePlacing();
-      }
-      this.deps.log.debug({ team, from: part.name, to, ...give, result: result.kind }, 'limit shifted');
-    } catch {
-      // Unknown: the share stays held back until the condition's version has moved on.
-    }
-  }
-
   /** For tests and logs. */
   get ownedParts(): string[] {
     return [...this.owned.keys()];
