--- a/test/profile.ts
+++ b/test/profile.ts
@@ -10,8 +10,32 @@
   timeDeltas: number[];
 }
 
-/** Self time of a processor profile, by module and by function, in shares of the time that was not idle. */
-export function account(file: string, bundle: string, rows = 45): string {
+/** What a sample is laid to: the first of these that its innermost frames match, from the inside outwards. */
+const causes: [string, RegExp][] = [
+  ['garbage collection', /^\(garbage collector\)/],
+  ['placing', /^(place|placeOn|serve|queue|run) src\/coordination|placement\.ts|team-usage\.ts/],
+  ['order of the waits', /^servingOrder |waiting\.ts/],
+  ['ticks of parts', /^(tick|tickParts|tell|summary|running|open) src\/coordination|renting\.ts/],
+  ['reports: taking them in', /^(onReport|apply|orders|forgets|booked) |machines\.ts/],
+  ['reports: decoding and checking', /^(decodeReport|readBody) src\/protocol/],
+  [
+    'records: follows, pages, writes',
+    /records\.ts|open-jobs\.ts|store\.ts|pages\.ts|protocol\/state\.ts|task-set\.ts/,
+  ],
+  ['users: jobs', /coordination\/jobs\.ts|protocol\/users\.ts/],
+  ['cloud', /cloud-calls\.ts|protocol\/cloud\.ts/],
+  ['mesh', /transport\/mesh\.ts|averages\.ts|protocol\/mesh\.ts|cbor-x/],
+  ['HTTP client', /http-client\.ts|node:_http_client|node:_http_agent/],
+  ['HTTP server', /http-server\.ts|http-api\.ts|node:_http_server|^parserOn|node:_http_common|hono/],
+  ['start: modules', /node:internal\/(modules|bootstrap|main)|^(compileFunction|require)/],
+  [
+    'sockets, streams, timers',
+    /node:(net|internal\/(stream|timers|streams|event))|^(processTimers|onStreamRead)/,
+  ],
+];
+
+/** Self time of a processor profile by cause and by module, in shares of the time that was not idle. */
+export function account(file: string, bundle: string, rows = 25): string {
   const profile = JSON.parse(readFileSync(file, 'utf8')) as Profile;
   // esbuild heads each module of a bundle with its path.
   const modules = readFileSync(bundle, 'utf8')
@@ -20,30 +44,34 @@
   for (let i = 1; i < modules.length; i++) modules[i] ??= modules[i - 1] ?? null;
   const own = new Map<number, number>();
   profile.samples.forEach((id, i) => own.set(id, (own.get(id) ?? 0) + (profile.timeDeltas[i] ?? 0)));
-  const nameOf = (frame: Profile['nodes'][number]['callFrame']): string => {
+  const moduleOf = (frame: Profile['nodes'][number]['callFrame']): string => {
     if (frame.url === '') return frame.functionName;
     if (frame.url.startsWith('node:')) return frame.url;
     const module = modules[frame.lineNumber] ?? 'bundle';
     return module.replace(/^node_modules\/((?:@[^/]+\/)?[^/]+)\/.*/, '$1');
   };
+  const nodes = new Map(profile.nodes.map((node) => [node.id, node]));
+  const byCause = new Map<string, number>();
   const byModule = new Map<string, number>();
-  const byFunction = new Map<string, number>();
   let total = 0;
-  for (const node of profile.nodes) {
-    const time = own.get(node.id) ?? 0;
+  const visit = (id: number, outer: string): void => {
+    const node = nodes.get(id);
+    if (!node) return;
     const { functionName } = node.callFrame;
-    if (functionName === '(idle)' || time === 0) continue;
+    const module = moduleOf(node.callFrame);
+    const cause = causes.find(([, frame]) => frame.test(`${functionName} ${module}`))?.[0] ?? outer;
+    const time = functionName === '(idle)' ? 0 : (own.get(id) ?? 0);
     total += time;
-    const module = nameOf(node.callFrame);
+    byCause.set(cause, (byCause.get(cause) ?? 0) + time);
     byModule.set(module, (byModule.get(module) ?? 0) + time);
-    const name = `${functionName || '(anonymous)'} ${module}`;
-    byFunction.set(name, (byFunction.get(name) ?? 0) + time);
-  }
+    for (const child of node.children ?? []) visit(child, cause);
+  };
+  visit(profile.nodes[0]?.id ?? 0, 'not explained');
   const table = (of: Map<string, number>): string =>
     [...of]
       .sort((a, b) => b[1] - a[1])
       .slice(0, rows)
       .map(([name, time]) => `  ${((time / total) * 100).toFixed(1).padStart(5)}%  ${name}`)
       .join('\n');
-  return `${file}: ${(total / 1000).toFixed(0)} ms not idle\n${table(byModule)}\nby function\n${table(byFunction)}`;
+  return `${file}: ${(total / 1000).toFixed(0)} ms not idle\n${table(byCause)}\nby module\n${table(byModule)}`;
 }
