--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -97,7 +97,7 @@
   readonly records: PartRecords;
   readonly usage: TeamUsage;
   private counter = 0;
-  private outdated = false;
+  private toldOfNewer = false;
   /** The slices as last put in order, and by what. */
   private ordered: { by: Map<string, number> | null; slices: Slice[] } = { by: null, slices: [] };
   private placing = false;
@@ -158,9 +158,14 @@
     return !this.signal.aborted;
   }
 
-  /** Whether this owner may start tasks and ask machines to accept it: not once one knows a newer owner. */
+  /** Whether a machine knows a newer owner: this one only answers reports until the records show it. */
+  get outdated(): boolean {
+    return this.toldOfNewer;
+  }
+
+  /** Whether this owner may start tasks and ask machines to accept it. */
   private mayAct(): boolean {
-    return !this.outdated && this.context.mayAct();
+    return !this.toldOfNewer && this.context.mayAct();
   }
 
   // --- what the replica shows ---
@@ -230,7 +235,7 @@
   private apply(machine: Machine, report: Report, checkin: boolean): boolean {
     const now = this.context.clock.now();
     if (report.token > this.token) {
-      this.outdated = true;
+      this.toldOfNewer = true;
       this.context.onOutdated(this.name);
       return false;
     }
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -65,6 +65,7 @@
   ) {}
 
   tick(): void {
+    if (this.part.outdated) return;
     const now = this.deps.clock.now();
     this.watchSilent(now);
     for (const id of this.booting.keys()) if (this.part.machines.has(id)) this.booting.delete(id);
--- a/test/load.ts
+++ b/test/load.ts
@@ -149,14 +149,28 @@
   /node (.*) target\/main\.cjs/.exec(readFileSync('deploy/service.toml', 'utf8'))?.[1] ?? ''
 ).split(' ');
 
+/** Loaded into each controller: what its memory is made of when it ends, in MB. */
+const MEMORY = `process.on('exit', () => {
+  const mb = (bytes) => (bytes / 1048576).toFixed(1);
+  const { rss, external, arrayBuffers } = process.memoryUsage();
+  const spaces = require('node:v8').getHeapSpaceStatistics().filter((s) => s.physical_space_size > 0);
+  const parts = spaces.map((s) => s.space_name + ' ' + mb(s.space_used_size) + ' of ' + mb(s.physical_space_size));
+  console.error('memory: resident ' + mb(rss) + ', external ' + mb(external) + ', buffers ' + mb(arrayBuffers) + ', ' + parts.join(', '));
+});`;
+
 function start(node: Node): void {
   const profile = options.profile ? ['--cpu-prof', `--cpu-prof-dir=${DIR}`, '--cpu-prof-interval=500'] : [];
   const heap = options.heap === '' ? [] : options.heap.split(' ');
   const main = options.profile ? `${DIR}/main.cjs` : 'target/main.cjs';
-  node.child = spawn('node', [...flags, ...heap, ...profile, main, '--config', `${DIR}/${node.name}.toml`], {
-    stdio: ['ignore', 'ignore', 'inherit'],
-    env: { ...process.env, LOG_LEVEL: 'error' },
-  });
+  const memory = ['--require', `./${DIR}/memory.cjs`];
+  node.child = spawn(
+    'node',
+    [...flags, ...heap, ...profile, ...memory, main, '--config', `${DIR}/${node.name}.toml`],
+    {
+      stdio: ['ignore', 'ignore', 'inherit'],
+      env: { ...process.env, LOG_LEVEL: 'error' },
+    },
+  );
 }
 
 /** Processor time in milliseconds, of user and system, and resident memory of a process in MB. */
@@ -289,6 +303,7 @@
 
 rmSync(DIR, { recursive: true, force: true });
 mkdirSync(DIR, { recursive: true });
+writeFileSync(`${DIR}/memory.cjs`, MEMORY);
 if (options.profile) {
   const { buildSync } = await import('esbuild');
   buildSync({
--- a/test/stories.test.ts
+++ b/test/stories.test.ts
@@ -366,6 +366,18 @@
     for (const task of its) assert.equal(startsOf(task), 1, 'those that may be on the machine do not');
   });
 
+  it('asks no machine any more once one has told of a newer owner', async () => {
+    c = await cluster();
+    c.fault('b', 'state', 'silent');
+    await c.clock.pass(14_000);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    assert.ok(c.owned('b').includes('b'), 'its records do not show it');
+    const asked = (): number => [...c.workers.values()].reduce((sum, w) => sum + w.commands, 0);
+    const before = asked();
+    await c.clock.pass(3 * REPORT_MS);
+    assert.equal(asked(), before);
+  });
+
   it('starts what waits in the answer to the report that shows room, without a call of its own', async () => {
     c = await cluster();
     await c.submit('a', 'j-64', 9, { sede: 'b' });
