--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -201,6 +201,35 @@
   });
 });
 
+describe('handover', () => {
+  it('frees what the direct predecessor knew to run nowhere, and nothing on the word of any other owner', () => {
+    const context = {
+      clock: new FakeClock(),
+      settings: readSettings(platform),
+      replica: { version: () => 5 },
+      limits: { limited: () => false },
+      typeOf: () => type,
+      mayAct: () => false,
+      proofMs: 0,
+    } as unknown as PartContext;
+    const given = { name: 'a/j-1/0', spec: spec(), at: 0, from: 0, count: 4, settled: '' };
+    const record = { endpoint: 'x:1', type: 'small', zone: 'a', spot: false };
+    const part = new Part('a', 3, context, new AbortController().signal, {
+      machines: [['live/machines/a/0', { machines: { m: record } }, 1]],
+      progress: [],
+      slices: [given],
+    });
+    const before = new Slice(given, false);
+    before.place(2, 'on a machine');
+    const free = { [given.name]: before.free, 'a/j-9/0': before.free };
+    const waiting = (): number[] => [...(part.slices.get(given.name)?.waiting ?? [])].sort();
+    part.takeOver({ kind: 'handover', part: 'a', token: 2, free });
+    assert.deepEqual(waiting(), []);
+    part.takeOver({ kind: 'handover', part: 'a', token: 3, free });
+    assert.deepEqual(waiting(), [0, 1, 3]);
+  });
+});
+
 describe('waiting order', () => {
   const settings = readSettings({
     ...platform,
