--- a/test/load.ts
+++ b/test/load.ts
@@ -1,9 +1,10 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdirSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { Agent, createServer, request, type Server } from 'node:http';
+import { createServer } from 'node:http';
 import { parseArgs } from 'node:util';
+import { type HttpClient, httpClient } from '../src/transport/http-client.ts';
 import { seededRandom } from '../src/transport/random.ts';
-import { job } from './cluster.ts';
+import { type Answer, job } from './cluster.ts';
 import { FakeCloud, FakeState, FakeWorker } from './fakes.ts';
 import { account } from './profile.ts';
 
@@ -46,7 +47,8 @@
 
 type Handler = (method: string, path: string, body: unknown) => unknown;
 
-async function serve(handler: Handler, port = 0): Promise<{ server: Server; port: number }> {
+/** Serves on a free port, which it tells. */
+async function serve(handler: Handler): Promise<number> {
   const server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => {
     let text = '';
     req.on('data', (chunk: Buffer) => (text += chunk.toString()));
@@ -61,34 +63,22 @@
       })();
     });
   });
-  await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const at = server.address();
-  return { server, port: typeof at === 'object' && at ? at.port : 0 };
+  return typeof at === 'object' && at ? at.port : 0;
 }
 
-interface Reply {
-  status: number;
-  body: Record<string, unknown>;
-}
-
-function call(agent: Agent, port: number, method: string, path: string, body?: object): Promise<Reply> {
-  return new Promise((resolve, reject) => {
-    const req = request({ agent, host: '127.0.0.1', port, method, path, timeout: 4000 }, (res) => {
-      let text = '';
-      res.on('data', (chunk: Buffer) => (text += chunk.toString()));
-      res.on('end', () => {
-        try {
-          resolve({ status: res.statusCode ?? 0, body: JSON.parse(text || '{}') as Record<string, unknown> });
-        } catch (error) {
-          reject(error as Error);
-        }
-      });
-      res.on('error', reject);
-    });
-    req.on('timeout', () => req.destroy(new Error('no answer')));
-    req.on('error', reject);
-    req.end(body === undefined ? undefined : JSON.stringify(body));
-  });
+/** A call of a worker or a user, by the service's own client. */
+async function call(
+  http: HttpClient,
+  port: number,
+  method: 'GET' | 'POST',
+  path: string,
+  body?: object,
+): Promise<Answer> {
+  const sent = body === undefined ? {} : { body: JSON.stringify(body) };
+  const reply = await http({ address: `127.0.0.1:${String(port)}`, method, path, deadlineMs: 4000, ...sent });
+  return { status: reply.status, body: JSON.parse(reply.text || '{}') as Answer['body'] };
 }
 
 // --- controllers ---
@@ -193,7 +183,7 @@
 
 class Machine {
   private at: Node;
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  private readonly http = httpClient();
   private changed = false;
   private wake: () => void = () => {};
 
@@ -233,7 +223,7 @@
       const { session } = this.worker;
       const before = this.worker.tasks.length;
       try {
-        const answer = await call(this.agent, this.at.port, 'POST', '/checkin', this.worker.report());
+        const answer = await call(this.http, this.at.port, 'POST', '/checkin', this.worker.report());
         count(`report ${String(answer.status)}`);
         if (answer.status === 200) {
           this.worker.answered(sentAt, session, answer.body as never);
@@ -263,7 +253,7 @@
 }
 
 let jobs = 0;
-const agents = nodes.map(() => new Agent({ keepAlive: true }));
+const users = httpClient();
 
 /** A user: submits, then polls every five seconds. */
 async function user(): Promise<void> {
@@ -280,15 +270,14 @@
   const began = clock.now();
   while (clock.now() - began < 300_000) {
     const n = random.below(nodes.length);
-    const agent = agents[n] as Agent;
     const port = (nodes[n] as Node).port;
     try {
       if (!accepted) {
-        const answer = await call(agent, port, 'POST', '/v1/jobs', spec);
+        const answer = await call(users, port, 'POST', '/v1/jobs', spec);
         count(`submission ${String(answer.status)}`);
         accepted = answer.status < 300;
       } else {
-        const answer = await call(agent, port, 'GET', `/v1/jobs/${id}`);
+        const answer = await call(users, port, 'GET', `/v1/jobs/${id}`);
         count(`poll ${String(answer.status)}`);
         if (answer.body['stato'] === 'done') return count('job done');
       }
@@ -317,10 +306,11 @@
 }
 const state = new FakeState(clock);
 const cloud = new FakeCloud(ZONES);
-const statePort = (
-  await serve((m, p, b) => (count(`state ${p.split(/[/?]/)[1] ?? ''}`), state.server(m, p, b)))
-).port;
-const cloudPort = (await serve((m, p, b) => (count('cloud'), cloud.server(m, p, b)))).port;
+const statePort = await serve((m, p, b) => {
+  count(`state ${p.split(/[/?]/)[1] ?? ''}`);
+  return state.server(m, p, b);
+});
+const cloudPort = await serve((m, p, b) => (count('cloud'), cloud.server(m, p, b)));
 for (const node of nodes) {
   writeFileSync(`${DIR}/${node.name}.toml`, settings(node, statePort, cloudPort));
   start(node);
@@ -329,7 +319,7 @@
   const zone = ZONES[i % ZONES.length] as string;
   const worker = new FakeWorker(`n-${String(i).padStart(6, '0')}`, zone, clock, LEASE_MS);
   const machine = new Machine(worker, zone);
-  const { port } = await serve((m, p, b) => {
+  const port = await serve((m, p, b) => {
     count('command');
     const answer = worker.server(m, p, b);
     machine.noteOrders();
