Bundle tells its version without holding the manifest

Need: the bundle held the whole root package.json, so that any change of scripts or packages changed the program. Change: the version stands in version.ts; a unit test holds it to the manifest.

--- a/src/main.ts
+++ b/src/main.ts
@@ -4,7 +4,6 @@
 import { Command } from 'commander';
 import { pino } from 'pino';
 import { parse as parseToml } from 'smol-toml';
-import manifest from '../package.json' with { type: 'json' };
 import { Controller } from './coordination/controller.ts';
 import { readOperatorSettings } from './operator-settings.ts';
 import { httpApi } from './protocol/http-api.ts';
@@ -14,6 +13,7 @@
 import { serveHttp } from './transport/http-server.ts';
 import { type Mesh, startMesh } from './transport/mesh.ts';
 import { seededRandom } from './transport/random.ts';
+import { VERSION } from './version.ts';
 
 const BAD_SETTINGS = 2;
 
@@ -34,7 +34,7 @@
 
 const command = new Command('onyxkeel')
   .description('A cluster scheduler: places tasks on rented machines, each controller in its own part.')
-  .version(manifest.version)
+  .version(VERSION)
   .requiredOption('--config <file>', "the platform's settings (TOML)")
   .option('--operator <file>', "operators' own settings (XML)")
   .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : BAD_SETTINGS))
@@ -67,7 +67,7 @@
 });
 for (const name of ['SIGTERM', 'SIGINT'] as const) process.once(name, () => stop.abort());
 log.info(
-  { version: manifest.version, incarnation, zone: settings.zone, listen: settings.listen },
+  { version: VERSION, incarnation, zone: settings.zone, listen: settings.listen },
   'starting',
 );
 async function main(): Promise<void> {
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -26,6 +26,8 @@
 import { Lateness } from '../src/transport/lateness.ts';
 import { Pace } from '../src/transport/pace.ts';
 import { seededRandom } from '../src/transport/random.ts';
+import { VERSION } from '../src/version.ts';
+import manifest from '../package.json' with { type: 'json' };
 import { type Planned, servingOrder } from '../src/coordination/waiting.ts';
 import { job } from './cluster.ts';
 import { FakeClock } from './fakes.ts';
@@ -422,4 +424,8 @@
     );
     assert.throws(() => readOperatorSettings('<onyxkeel>'), /line 1/);
   });
+
+  it('tells the version that the manifest has', () => {
+    assert.equal(VERSION, manifest.version);
+  });
 });
