--- a/src/main.ts
+++ b/src/main.ts
@@ -66,10 +66,7 @@
   signal: stop.signal,
 });
 for (const name of ['SIGTERM', 'SIGINT'] as const) process.once(name, () => stop.abort());
-log.info(
-  { version: VERSION, incarnation, zone: settings.zone, listen: settings.listen },
-  'starting',
-);
+log.info({ version: VERSION, incarnation, zone: settings.zone, listen: settings.listen }, 'starting');
 async function main(): Promise<void> {
   try {
     mesh = await startMesh({
