Workspaces: the sources become packages/scheduler, a pure move

Need: subsystems to come are packages of their own; the layout has the controllers in packages/scheduler.

--- a/test/profile.ts
+++ b/packages/scheduler/test/profile.ts
@@ -40,7 +40,7 @@
   // esbuild heads each module of a bundle with its path.
   const modules = readFileSync(bundle, 'utf8')
     .split('\n')
-    .map((line) => /^\s*\/\/ ((?:src|node_modules)\/\S+)$/.exec(line)?.[1] ?? null);
+    .map((line) => /^\s*\/\/ ((?:packages|node_modules)\/\S+)$/.exec(line)?.[1] ?? null);
   for (let i = 1; i < modules.length; i++) modules[i] ??= modules[i - 1] ?? null;
   const own = new Map<number, number>();
   profile.samples.forEach((id, i) => own.set(id, (own.get(id) ?? 0) + (profile.timeDeltas[i] ?? 0)));
--- a/test/units.test.ts
+++ b/packages/scheduler/test/units.test.ts
@@ -27,7 +27,7 @@
 import { Pace } from '../src/transport/pace.ts';
 import { seededRandom } from '../src/transport/random.ts';
 import { VERSION } from '../src/version.ts';
-import manifest from '../package.json' with { type: 'json' };
+import manifest from '../../../package.json' with { type: 'json' };
 import { type Planned, servingOrder } from '../src/coordination/waiting.ts';
 import { job } from './cluster.ts';
 import { FakeClock } from './fakes.ts';
