Restricted jobs get machines; share of a limit is neither lost nor hoarded

Change: the renter looks at what suits restricted jobs; a shift of unknown outcome is sent again, the same, and its share stays held back until the replica shows another version; what a part cannot use itself is lent to the part whose turn it is. The clock now also takes what is to run after the present turn, so that a virtual one knows of it.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -193,6 +193,8 @@
 // --- limits of teams ---
 /** Milliseconds between shifts of one team's limit from a part to another. */
 export const QUOTA_SHIFT_MS = 500;
+/** Milliseconds for which one part goes before the others where all lack a team's share: a few tasks' run. */
+export const QUOTA_TURN_MS = 30_000;
 
 // --- HTTP ---
 /**
--- a/packages/scheduler/src/coordination/cloud-calls.ts
+++ b/packages/scheduler/src/coordination/cloud-calls.ts
@@ -75,7 +75,7 @@
       this.queued.set(machine, resolve);
       if (this.giving) return;
       this.giving = true;
-      setImmediate(() => void this.giveAll());
+      this.clock.soon(() => void this.giveAll());
     });
   }
 
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -166,7 +166,17 @@
       owns: (part) => this.owned.has(part),
     });
     const parts = (): Part[] => [...this.owned.values()].map((owned) => owned.part);
-    this.limitShifts = new LimitShifts({ log, store, replica, limits, averages, parts });
+    const partNames = this.parts.names;
+    this.limitShifts = new LimitShifts({
+      log,
+      wallClock,
+      store,
+      replica,
+      limits,
+      averages,
+      partNames,
+      parts,
+    });
     // From its last proof, an owner may answer reports for so long that the lease it renews last, and
     // with it every task of a job cancelled since, is over within the time a cancellation has.
     this.proofMs = Math.max(
@@ -319,7 +329,7 @@
     // After this turn: a part that begins now is there by then.
     const { owners } = this;
     this.owners = endless();
-    setImmediate(() => owners.abort());
+    this.deps.clock.soon(() => owners.abort());
   }
 
   private mayAct(): boolean {
--- a/packages/scheduler/src/coordination/limit-shifts.ts
+++ b/packages/scheduler/src/coordination/limit-shifts.ts
@@ -1,5 +1,7 @@
+import { QUOTA_TURN_MS } from '../constants.ts';
 import { quotaKey, type QuotaRecord } from '../bookkeeping/records.ts';
 import type { Replica, Store } from '../bookkeeping/store.ts';
+import type { Condition } from '../protocol/state.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Averages } from './averages.ts';
 import type { Limits } from './limits.ts';
@@ -7,6 +9,12 @@
 
 /** Shifts share of the teams' limits between parts, each by the owner that gives it up. */
 export class LimitShifts {
+  /** Shifts whose answer was lost, one at the most for each part of this node and team. */
+  private readonly unknown = new Map<
+    string,
+    { part: Part; team: string; conditions: Condition[]; key: string; value: QuotaRecord }
+  >();
+
   constructor(
     private readonly context: {
       log: Log;
@@ -14,6 +22,10 @@
       replica: Replica;
       limits: Limits;
       averages: Averages;
+      /** Time of day, milliseconds. */
+      wallClock: () => number;
+      /** All parts, in an order that every node has alike. */
+      partNames: string[];
       /** The parts that this node owns. */
       parts: () => Part[];
     },
@@ -21,6 +33,7 @@
 
   /** Gives share of teams' limits up to parts that lack it: given up first, taken after the commit. */
   async shiftAll(): Promise<void> {
+    await this.repeatUnknown();
     for (const part of this.context.parts()) {
       for (const message of this.context.averages.all()) {
         if (message.part === part.name) continue;
@@ -31,6 +44,14 @@
     }
   }
 
+  /** Whose turn it is goes round with the time of day, so that no part waits for ever; clocks agree well enough. */
+  private goesBefore(one: string, other: string): boolean {
+    const { partNames, wallClock } = this.context;
+    const turn = Math.floor(wallClock() / QUOTA_TURN_MS);
+    const place = (part: string): number => (partNames.indexOf(part) + turn) % partNames.length;
+    return place(one) < place(other);
+  }
+
   private async shift(
     part: Part,
     to: string,
@@ -46,8 +67,11 @@
     if (!own || !other || part.usage.holdsBack(team)) return;
     const used = part.usage.of(team);
     const lacks = part.usage.wants.get(team);
+    const yields = lacks !== undefined && this.goesBefore(to, part.name);
+    // What a part that lacks share has left is too little for any of its own waits: parts that all lack some would
+    // hold on to it for ever. So it is lent to the part whose turn it is, which never lends its own.
     const spare = (share: number, use: number, lack: number, want: number): number =>
-      Math.max(0, Math.min(want, share - use - lack));
+      Math.max(0, Math.min(want, share - use - (yields ? 0 : lack)));
     const give = {
       cores: spare(own.cores, used.cores, lacks?.cores ?? 0, cores),
       accelerators: spare(own.accelerators, used.accelerators, lacks?.accelerators ?? 0, accelerators),
@@ -71,6 +95,26 @@
       this.context.log.debug({ team, from: part.name, to, ...give, result: result.kind }, 'limit shifted');
     } catch {
       // Unknown: the share stays held back until the condition's version has moved on.
+      this.unknown.set(`${part.name}/${team}`, { part, team, conditions, key, value });
+    }
+  }
+
+  /**
+   * A shift whose answer was lost may never have arrived: then nothing moves the version on, and its share would be
+   * nobody's for ever. The same transaction again is harmless, as at most one of the two meets its condition. What it
+   * answers proves nothing about the first, so the share is free only when the replica shows another version.
+   */
+  private async repeatUnknown(): Promise<void> {
+    for (const [name, { part, team, conditions, key, value }] of this.unknown) {
+      if (!part.active || !part.usage.holdsBack(team)) this.unknown.delete(name);
+      else {
+        try {
+          await this.context.store.txn(conditions, [{ op: 'put', key, value }], 'work');
+          this.unknown.delete(name);
+        } catch {
+          // Still unknown: once more at the next turn.
+        }
+      }
     }
   }
 }
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -562,7 +562,7 @@
       if (this.active) this.place();
     };
     const gap = this.placedAt + PLACE_GAP_MS - this.context.clock.now();
-    if (gap <= 0) setImmediate(run);
+    if (gap <= 0) this.context.clock.soon(run);
     else void this.context.clock.sleep(gap, this.signal).then(run);
   }
 
--- a/packages/scheduler/src/coordination/renting.ts
+++ b/packages/scheduler/src/coordination/renting.ts
@@ -19,6 +19,7 @@
 } from '../constants.ts';
 import { fits, type Machine } from '../bookkeeping/machines.ts';
 import type { ListedMachine, MachineType } from '../protocol/cloud.ts';
+import type { JobSpec } from '../protocol/users.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
 import type { Log } from '../transport/routine.ts';
@@ -38,6 +39,11 @@
   all: number;
 }
 
+/** Whether a task of the job may run on, and fits, a machine of the type. */
+function suits(spec: JobSpec, type: MachineType): boolean {
+  return (spec.types === null || spec.types.includes(type.name)) && fits(spec, type);
+}
+
 /** Keeps one part supplied with machines: rents ahead of need, replaces lost ones, returns unneeded ones. */
 export class Renting {
   private readonly booting = new Map<string, Booting>();
@@ -204,14 +210,23 @@
     const specs = [...this.part.slices.values()].map((slice) => slice.spec);
     const perCore = (t: MachineType, spot: boolean): number => (spot ? t.spotPrice : t.price) / t.cores;
     const useful = (t: MachineType, spot: boolean): boolean =>
-      specs.some((s) => (s.spot || !spot) && (s.types === null || s.types.includes(t.name)) && fits(s, t));
+      specs.some((s) => (s.spot || !spot) && suits(s, t));
     // What is up soonest, and in the fewest calls: late work weighs more than the price.
-    const find = (spot: boolean): MachineType | null =>
+    const rentable = (spot: boolean): MachineType[] =>
       catalog
-        .filter((t) => t.zones.includes(this.zone) && useful(t, spot))
+        .filter((t) => t.zones.includes(this.zone))
         .filter((t) => (this.noneUntil.get(`${t.name}/${String(spot)}`) ?? 0) <= now)
-        .sort((a, b) => a.bootS - b.bootS || b.cores - a.cores || perCore(a, spot) - perCore(b, spot))[0] ??
-      null;
+        .sort((a, b) => a.bootS - b.bootS || b.cores - a.cores || perCore(a, spot) - perCore(b, spot));
+    const find = (spot: boolean): MachineType | null => rentable(spot).find((t) => useful(t, spot)) ?? null;
+    for (const { spec, cores: needed } of this.restricted(catalog)) {
+      const on = (t: MachineType, spot: boolean): boolean => suits(spec, t) && (spec.spot || !spot);
+      const there = this.coresOf(now, on);
+      if (there >= NEED_HEADROOM * needed) continue;
+      for (const spot of spec.spot ? [true, false] : [false]) {
+        const [type] = rentable(spot).filter((t) => suits(spec, t));
+        if (type) return { type, spot, cores: NEED_HEADROOM * needed - there };
+      }
+    }
     if (supply.ordinary < want.ordinary) {
       const type = find(false);
       if (type) return { type, spot: false, cores: want.ordinary - supply.ordinary };
@@ -225,6 +240,36 @@
     return null;
   }
 
+  /**
+   * What the part has to run on some types of its zone only, by such types: its machines' CPUs in all may do for it
+   * and yet not one of them take it, so that without this it would wait for ever.
+   */
+  private restricted(catalog: MachineType[]): { spec: JobSpec; cores: number }[] {
+    const local = catalog.filter((t) => t.zones.includes(this.zone));
+    const groups = new Map<string, { spec: JobSpec; cores: number }>();
+    for (const slice of this.part.slices.values()) {
+      const { spec } = slice;
+      const able = local.filter((t) => suits(spec, t));
+      if (able.length === local.length) continue;
+      const key = `${able.map((t) => t.name).join('/')} ${String(spec.spot)}`;
+      const group = groups.get(key) ?? { spec, cores: 0 };
+      group.cores += (slice.count - slice.settled.size) * spec.cores;
+      groups.set(key, group);
+    }
+    return [...groups.values()];
+  }
+
+  /** CPUs of the machines, up and coming, of the kinds asked for. */
+  private coresOf(now: number, of: (type: MachineType, spot: boolean) => boolean): number {
+    let cores = 0;
+    for (const m of this.part.machines.values()) {
+      if (m.type && !m.draining && !m.returning && of(m.type, m.spot)) cores += m.type.cores;
+    }
+    for (const b of this.booting.values())
+      if (this.isComing(b, now) && of(b.type, b.spot)) cores += b.type.cores;
+    return cores;
+  }
+
   // --- returning ---
 
   private returnIdle(now: number, want: Need): void {
--- a/packages/scheduler/src/transport/clock.ts
+++ b/packages/scheduler/src/transport/clock.ts
@@ -3,6 +3,8 @@
   now(): number;
   /** Resolves after `ms`, or at once when the signal is aborted. */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  /** Runs it after what goes on now, before any time passes. A virtual clock must know of all that is still to run. */
+  soon(run: () => void): void;
 }
 
 export const systemClock: Clock = {
@@ -18,4 +20,5 @@
       const timer = setTimeout(done, ms);
       signal?.addEventListener('abort', done);
     }),
+  soon: (run) => void setImmediate(run),
 };
--- a/packages/scheduler/test/fakes.ts
+++ b/packages/scheduler/test/fakes.ts
@@ -19,6 +19,10 @@
     });
   }
 
+  soon(run: () => void): void {
+    setImmediate(run);
+  }
+
   /** Lets time pass in small steps, so that what a wait sets off happens at its own time. */
   async pass(ms: number): Promise<void> {
     const end = this.time + ms;
--- a/packages/scheduler/test/load.ts
+++ b/packages/scheduler/test/load.ts
@@ -38,6 +38,7 @@
 const clock = {
   now: () => performance.now(),
   sleep: (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms)),
+  soon: (run: () => void): void => void setImmediate(run),
 };
 const random = seededRandom(1);
 const counts: Record<string, number> = {};
@@ -296,7 +297,7 @@
 if (options.profile) {
   const { buildSync } = await import('esbuild');
   buildSync({
-    entryPoints: ['src/main.ts'],
+    entryPoints: ['packages/scheduler/src/main.ts'],
     bundle: true,
     platform: 'node',
     format: 'cjs',
--- a/packages/scheduler/test/stories.test.ts
+++ b/packages/scheduler/test/stories.test.ts
@@ -508,6 +508,24 @@
     );
   });
 
+  it('gives share up though what was sent for it never arrived and nobody answers', async () => {
+    c = await cluster(18);
+    await c.submit('a', 'j-44', 12, { sede: 'b' });
+    // Both others give share up within half a second, and what they send for it does not arrive.
+    for (const zone of ['a', 'c']) c.fault(zone, 'state', 'silent');
+    await c.clock.pass(2500);
+    for (const zone of ['a', 'c']) c.fault(zone, 'state', 'none');
+    await c.clock.pass(6 * REPORT_MS);
+    assert.equal(c.onMachines().length, 8, 'all that its two machines hold');
+  });
+
+  it('lends what is too little for any of its own waits where all parts lack some', async () => {
+    // Two CPUs of the limit for each part, and a task that needs three.
+    c = await cluster(6);
+    await c.submit('a', 'j-45', 6, { cores: 3.0 });
+    assert.equal(await workUntilDone('a', 'j-45', 60), 'done');
+  });
+
   it('keeps tasks running through an outage in which every controller ends', async () => {
     c = await cluster();
     await c.submit('a', 'j-40', 24);
--- a/packages/scheduler/test/units.test.ts
+++ b/packages/scheduler/test/units.test.ts
@@ -162,7 +162,11 @@
     let delay = 0;
     const end = new AbortController();
     const waits: (() => void)[] = [];
-    const clock = { now: () => now, sleep: () => new Promise<void>((resolve) => waits.push(resolve)) };
+    const clock = {
+      now: () => now,
+      sleep: () => new Promise<void>((resolve) => waits.push(resolve)),
+      soon: () => {},
+    };
     const lateness = new Lateness(clock);
     void lateness.run(end.signal);
     const pass = async (): Promise<void> => {
