--- /dev/null
+++ b/packages/emulator/src/cloud.ts
@@ -0,0 +1,233 @@
+import type { Random } from '@onyxkeel/scheduler';
+import { Bucket } from './bucket.ts';
+import {
+  BOOT_QUICK,
+  BOOT_SLOW,
+  CLOUD_BURST_S,
+  CLOUD_MS,
+  DEAD_LISTED_MS,
+  LIST_MOST,
+  RENT_MOST,
+  RETURN_MOST,
+} from './constants.ts';
+import type { Reply, Request } from './network.ts';
+import {
+  cloudWords,
+  type ListedHost,
+  type MachineTypeSpec,
+  readRent,
+  readReturn,
+  type RentRequest,
+} from './protocol/wire.ts';
+import type { Timer, VirtualTime } from './time.ts';
+
+/** A machine as the cloud knows it. Times are virtual milliseconds; infinite: not yet, or never. */
+export interface Rented {
+  readonly id: string;
+  readonly endpoint: string;
+  readonly type: MachineTypeSpec;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly rentedAt: number;
+  upAt: number;
+  /** When it stopped by itself; it stays listed as running for a while, then as failed. */
+  diedAt: number;
+  /** When it was deleted or taken. */
+  goneAt: number;
+}
+
+export interface Capacity {
+  type: string;
+  zone: string;
+  ordinary: number;
+  spot: number;
+}
+
+const json = (body: string): Reply => ({ status: 200, body });
+const refused = (status: number, error: string): Reply => ({ status, body: JSON.stringify({ error }) });
+
+/** The cloud, by PROTOCOL "Controller nodes -> cloud". */
+export class Cloud {
+  readonly machines = new Map<string, Rented>();
+  private readonly answered = new Map<string, string[]>();
+  private readonly taken = new Map<string, number>();
+  private readonly boots = new Map<string, Timer>();
+  private readonly calls: Bucket;
+  private count = 0;
+  outage = false;
+  /** Factor on boot times, and the share of machines that never come up. */
+  bootFactor = 1;
+  bootFail = 0.02;
+  /** No rental succeeds while set. */
+  dry = false;
+  /** Share of rentals and deletions that get no answer and take effect later. */
+  lateShare = 0;
+  readonly counts = { refused: 0, rented: 0, returned: 0 };
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly random: Random,
+    private readonly deployment: {
+      types: MachineTypeSpec[];
+      zones: string[];
+      capacity: Capacity[];
+      rps: number;
+      listLagMs: number;
+    },
+    private readonly on: { up: (machine: Rented) => void; gone: (machine: Rented) => void },
+  ) {
+    this.calls = new Bucket(time, deployment.rps, deployment.rps * CLOUD_BURST_S);
+  }
+
+  serve = async (request: Request): Promise<Reply | undefined> => {
+    if (this.outage) return refused(503, 'trouble');
+    if (!this.calls.take(1)) {
+      this.counts.refused++;
+      return refused(429, 'limit');
+    }
+    await this.time.sleep(CLOUD_MS * (0.75 + this.random.below(1000) / 2000));
+    if (this.outage) return refused(503, 'trouble');
+    const url = new URL(request.path, 'http://cloud');
+    if (request.method === 'GET' && url.pathname === '/catalog') {
+      return json(cloudWords.catalog(this.deployment.types, this.deployment.zones));
+    }
+    if (request.method === 'GET' && url.pathname === '/hosts') return this.list(url.searchParams);
+    if (request.method !== 'POST') return refused(400, 'malformed');
+    const late = this.lateShare > 0 && this.random.below(1000) < this.lateShare * 1000;
+    if (late) await this.time.sleep(this.random.below(20_000));
+    let reply: Reply = refused(400, 'malformed');
+    if (url.pathname === '/hosts') {
+      const rent = readRent(request.body);
+      if (rent && rent.count <= RENT_MOST) reply = this.rent(rent);
+    } else if (url.pathname === '/hosts/return') {
+      const names = readReturn(request.body);
+      if (names && names.length <= RETURN_MOST) reply = this.giveBack(names);
+    }
+    return late ? undefined : reply;
+  };
+
+  // --- renting ---
+
+  private kind(type: string, zone: string, spot: boolean): string {
+    return `${type}/${zone}/${String(spot)}`;
+  }
+
+  private free(type: string, zone: string, spot: boolean): number {
+    const of = this.deployment.capacity.find((c) => c.type === type && c.zone === zone);
+    const most = (spot ? of?.spot : of?.ordinary) ?? 0;
+    return most - (this.taken.get(this.kind(type, zone, spot)) ?? 0);
+  }
+
+  private rent(rent: RentRequest): Reply {
+    const known = this.answered.get(rent.name);
+    if (known) return json(cloudWords.rented(known));
+    const type = this.deployment.types.find((t) => t.name === rent.type);
+    if (!type || !this.deployment.zones.includes(rent.zone)) return refused(400, 'malformed');
+    const count = this.dry ? 0 : Math.min(rent.count, this.free(rent.type, rent.zone, rent.spot));
+    if (count <= 0) return refused(503, 'no capacity');
+    const names = Array.from({ length: count }, () => this.add(type, rent.zone, rent.spot, null).id);
+    this.answered.set(rent.name, names);
+    this.counts.rented += count;
+    return json(cloudWords.rented(names));
+  }
+
+  /** A new machine; with `upAfterMs` null it boots as machines do, some slowly, some never. */
+  add(type: MachineTypeSpec, zone: string, spot: boolean, upAfterMs: number | null): Rented {
+    const id = `n-${String(++this.count).padStart(6, '0')}`;
+    const machine: Rented = {
+      id,
+      endpoint: `${id}:9000`,
+      type,
+      zone,
+      spot,
+      rentedAt: this.time.now,
+      upAt: Infinity,
+      diedAt: Infinity,
+      goneAt: Infinity,
+    };
+    this.machines.set(id, machine);
+    const kind = this.kind(type.name, zone, spot);
+    this.taken.set(kind, (this.taken.get(kind) ?? 0) + 1);
+    const boot = upAfterMs ?? this.bootMs(type);
+    if (boot !== Infinity) {
+      const up = (): void => {
+        this.boots.delete(id);
+        machine.upAt = this.time.now;
+        this.on.up(machine);
+      };
+      this.boots.set(id, this.time.after(boot, up));
+    }
+    return machine;
+  }
+
+  private bootMs(type: MachineTypeSpec): number {
+    const unit = this.random.below(10_000) / 10_000;
+    if (unit < this.bootFail) return Infinity;
+    if (unit < this.bootFail + BOOT_QUICK) return this.random.below(2000);
+    const usual = type.bootS * 1000 * (0.6 + (0.9 * this.random.below(1000)) / 1000) * this.bootFactor;
+    return unit < this.bootFail + BOOT_QUICK + BOOT_SLOW ? usual * 4 : usual;
+  }
+
+  private giveBack(names: string[]): Reply {
+    for (const name of names) {
+      const machine = this.machines.get(name);
+      if (machine && machine.goneAt === Infinity) this.counts.returned++;
+      this.take(name);
+    }
+    return json('{}');
+  }
+
+  /** The machine and everything on it is gone, deleted or taken back. */
+  take(name: string): void {
+    const machine = this.machines.get(name);
+    if (!machine || machine.goneAt !== Infinity) return;
+    machine.goneAt = this.time.now;
+    this.boots.get(name)?.cancel();
+    this.boots.delete(name);
+    const kind = this.kind(machine.type.name, machine.zone, machine.spot);
+    this.taken.set(kind, (this.taken.get(kind) ?? 1) - 1);
+    if (machine.upAt !== Infinity) this.on.gone(machine);
+    // Lists go back by twice the lag at the most.
+    this.time.after(this.deployment.listLagMs * 2 + 1000, () => this.machines.delete(name));
+  }
+
+  /** The machine stops by itself, with all that is on it. */
+  die(name: string): void {
+    const machine = this.machines.get(name);
+    if (!machine || machine.goneAt !== Infinity || machine.upAt === Infinity) return;
+    if (machine.diedAt !== Infinity) return;
+    machine.diedAt = this.time.now;
+    this.on.gone(machine);
+  }
+
+  // --- listing ---
+
+  /** The list as it was some time ago: the lag, sometimes up to twice that, so that a list may be older than one before. */
+  private list(query: URLSearchParams): Reply {
+    const lag = this.deployment.listLagMs;
+    const further = this.random.below(4) === 0 ? (lag * this.random.below(1000)) / 1000 : 0;
+    const at = this.time.now - lag - further;
+    const from = query.get('from') ?? '';
+    const most = Math.min(LIST_MOST, Number(query.get('most') ?? LIST_MOST));
+    const seen: ListedHost[] = [];
+    let truncated = false;
+    for (const m of this.machines.values()) {
+      if (m.id <= from || m.rentedAt > at || m.goneAt <= at) continue;
+      if (seen.length >= most) {
+        truncated = true;
+        break;
+      }
+      const failed = m.diedAt + DEAD_LISTED_MS <= at;
+      seen.push({
+        id: m.id,
+        endpoint: m.endpoint,
+        type: m.type.name,
+        zone: m.zone,
+        spot: m.spot,
+        state: failed ? 'failed' : m.upAt <= at ? 'running' : 'starting',
+        ageS: (at - m.rentedAt) / 1000,
+      });
+    }
+    return json(cloudWords.list(seen, truncated));
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/cluster.ts
@@ -0,0 +1,302 @@
+import { setMaxListeners } from 'node:events';
+import {
+  Controller,
+  httpApi,
+  type Log,
+  type MeshMessage,
+  type Random,
+  readSettings,
+  seededRandom,
+} from '@onyxkeel/scheduler';
+import { Cloud, type Capacity, type Rented } from './cloud.ts';
+import { Judge } from './judge.ts';
+import { LoadBalancer } from './load-balancer.ts';
+import { type Host, Network } from './network.ts';
+import type { MachineTypeSpec } from './protocol/wire.ts';
+import { StateService } from './state-service.ts';
+import { HostClock, VirtualTime } from './time.ts';
+import { Users } from './users.ts';
+import { Worker } from './worker.ts';
+import type { Workload } from './workload.ts';
+
+const STATE = 'state:1';
+const CLOUD = 'cloud:1';
+/** Milliseconds. The time of day at the day's begin; any will do. */
+const EPOCH_MS = 1_700_000_000_000;
+/** Milliseconds from a process's start until it serves. */
+const START_MS = 900;
+
+/** What a deployment sets; units as in the platform's settings (DEPLOY). */
+export interface Deployment {
+  zones: string[];
+  /** Zones of the controllers, in order. */
+  nodes: string[];
+  types: MachineTypeSpec[];
+  capacity: Capacity[];
+  /** Machines up at the start. */
+  initial: { type: string; zone: string; spot: boolean; count: number }[];
+  teams: { name: string; cores: number; maxCores: number }[];
+  objectives: { class: string; withinS: number }[];
+  reportS: number;
+  leaseS: number;
+  cancelS: number;
+  state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  cloud: { rps: number; listLagS: number };
+  clockOffMs: number;
+}
+
+interface Process {
+  host: Host;
+  controller: Controller;
+}
+
+export interface ClusterOptions {
+  /** Takes every controller's log; nothing by default. */
+  log?: (node: string) => Log;
+  seed: number;
+}
+
+export const silentLog: Log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
+
+/** A whole deployment in virtual time: the service's controllers and everything that they meet. */
+export class Cluster {
+  readonly time = new VirtualTime();
+  readonly random: Random;
+  readonly network: Network;
+  readonly state: StateService;
+  readonly cloud: Cloud;
+  readonly workload: Workload = new Map();
+  readonly judge: Judge;
+  readonly users: Users;
+  readonly workers = new Map<string, Worker>();
+  readonly balancer: LoadBalancer;
+  private readonly processes = new Map<number, Process>();
+  private starts = 0;
+  /** Worker sessions of machines that are gone, ended with tasks by their lease. */
+  private lostSessions = 0;
+
+  constructor(
+    readonly deployment: Deployment,
+    private readonly options: ClusterOptions,
+  ) {
+    const { time } = this;
+    this.random = seededRandom(options.seed);
+    const fork = (): Random => seededRandom(this.random.below(1 << 30));
+    this.network = new Network(time, fork());
+    const host = (name: string, kind: Host['kind']): Host => ({
+      name,
+      kind,
+      zone: null,
+      status: 'up',
+      clock: new HostClock(time, 0),
+    });
+    this.state = new StateService(time, fork(), deployment.state);
+    this.cloud = new Cloud(
+      time,
+      fork(),
+      {
+        types: deployment.types,
+        zones: deployment.zones,
+        capacity: deployment.capacity,
+        rps: deployment.cloud.rps,
+        listLagMs: deployment.cloud.listLagS * 1000,
+      },
+      { up: (machine) => this.addWorker(machine), gone: (machine) => this.endWorker(machine) },
+    );
+    this.network.serve(STATE, host('state', 'state'), this.state.serve);
+    this.network.serve(CLOUD, host('cloud', 'cloud'), this.cloud.serve);
+    const teamCores = new Map(deployment.teams.map((team) => [team.name, team.maxCores]));
+    this.judge = new Judge(time, this.workload, { teamCores, cancelMs: deployment.cancelS * 1000 });
+    const users = host('users', 'users');
+    const addresses = deployment.nodes.map((_, i) => this.address(i));
+    this.balancer = new LoadBalancer(time, fork(), this.network, users, addresses);
+    this.users = new Users(time, fork(), this.network, users, this.balancer, this.judge, this.workload);
+    this.network.onCutChange(() => time.after(1, () => this.connectMesh()));
+    for (const { type, zone, spot, count } of deployment.initial) {
+      const spec = deployment.types.find((t) => t.name === type);
+      for (let i = 0; spec && i < count; i++) this.cloud.add(spec, zone, spot, 0);
+    }
+  }
+
+  // --- controllers ---
+
+  private name(node: number): string {
+    return `node-${String(node)}`;
+  }
+
+  private address(node: number): string {
+    return `127.0.0.1:${String(9000 + node)}`;
+  }
+
+  /** The controller's host, if its process is there. */
+  host(node: number): Host | null {
+    return this.processes.get(node)?.host ?? null;
+  }
+
+  owned(node: number): string[] {
+    return this.processes.get(node)?.controller.ownedParts ?? [];
+  }
+
+  /** Starts the controller's process; it serves a moment later. */
+  start(node: number): void {
+    if (this.processes.has(node)) return;
+    const zone = this.deployment.nodes[node] ?? '';
+    const host: Host = {
+      name: this.name(node),
+      zone,
+      kind: 'node',
+      status: 'up',
+      clock: new HostClock(this.time, this.drift()),
+    };
+    const settings = this.settings(node);
+    const { clockOffMs } = this.deployment;
+    const off = this.random.below(2 * clockOffMs + 1) - clockOffMs;
+    // A process that ends is never told so: it is cut off from time and network, as a killed one is.
+    const never = new AbortController();
+    setMaxListeners(0, never.signal); // every duty and open call listens
+    const peers = this.deployment.nodes.map((_, i) => i).filter((i) => i !== node);
+    const controller = new Controller({
+      settings: { ...settings, state: STATE, cloud: CLOUD },
+      incarnation: `i${String(++this.starts)}`,
+      clock: host.clock,
+      wallClock: () => EPOCH_MS + this.time.now + off,
+      random: seededRandom(this.random.below(1 << 30)),
+      log: this.logOf(host.name),
+      http: this.network.client(host),
+      sendToSibling: (peer, message) => this.sendMesh(host, peer, message),
+      connectedSiblings: () =>
+        peers.filter((i) => this.processes.get(i) && this.meshOpen(host, i)).map((i) => this.name(i)),
+      signal: never.signal,
+    });
+    this.processes.set(node, { host, controller });
+    this.time.after(START_MS, () => {
+      if (host.status !== 'up') return;
+      const serve = httpApi(controller);
+      this.network.serve(this.address(node), host, async ({ method, path, body }) =>
+        serve({ method, path: path.split('?')[0] ?? path, body }),
+      );
+      controller
+        .run()
+        .catch((error: unknown) => this.judge.break('crashed', `${host.name}: ${String(error)}`));
+      this.connectMesh();
+    });
+  }
+
+  /** An error that a controller logs is one that nobody in it expected. */
+  private logOf(node: string): Log {
+    const log = this.options.log?.(node) ?? silentLog;
+    const error: Log['error'] = (fields, message) => {
+      this.judge.break('crashed', `${node}: ${message} ${JSON.stringify(fields)}`);
+      log.error(fields, message);
+    };
+    return { ...log, error };
+  }
+
+  /** Ends the process without a signal, as the platform does. */
+  end(node: number): void {
+    const process = this.processes.get(node);
+    if (!process) return;
+    this.judge.note(`end of ${process.host.name}`);
+    process.host.status = 'ended';
+    process.host.clock.ended = true;
+    this.network.forget(process.host);
+    this.processes.delete(node);
+  }
+
+  /** The process stands still while its clocks run on. */
+  freeze(node: number, ms: number): void {
+    const process = this.processes.get(node);
+    if (process) process.host.clock.frozenUntil = this.time.now + ms;
+  }
+
+  private settings(node: number): ReturnType<typeof readSettings> {
+    const d = this.deployment;
+    return readSettings({
+      node_name: this.name(node),
+      zone: d.nodes[node],
+      listen: this.address(node),
+      mesh_addr: this.address(node),
+      siblings: d.nodes
+        .map((zone, i) => ({ node_name: this.name(i), zone, peer_addr: this.address(i) }))
+        .filter((_, i) => i !== node),
+      endpoints: { cloud: '127.0.0.1:1', state: '127.0.0.1:2' },
+      deployment: {
+        zones: d.zones,
+        teams: d.teams.map((t) => ({ name: t.name, cpus: t.cores, cpus_max: t.maxCores })),
+        objectives: d.objectives.map((o) => ({ kind: 'finished', class: o.class, within_s: o.withinS })),
+        workers: { report_s: d.reportS, lease_s: d.leaseS, cancel_s: d.cancelS },
+        state: {
+          rps: d.state.rps,
+          write_rps: d.state.writeRps,
+          value_kb: d.state.valueKb,
+          txn_ops: d.state.txnOps,
+        },
+        cloud: { rps: d.cloud.rps, list_lag_s: d.cloud.listLagS },
+      },
+    });
+  }
+
+  /** Half of the clocks are as far off as clocks may be: what is reckoned from two of them must bear that. */
+  private drift(): number {
+    const extreme = this.random.below(4);
+    return extreme < 2 ? 2 * extreme - 1 : this.random.below(2001) / 1000 - 1;
+  }
+
+  private meshOpen(from: Host, to: number): boolean {
+    const peer = this.processes.get(to);
+    return peer !== undefined && this.network.meshOpen(from, peer.host);
+  }
+
+  private sendMesh(from: Host, peer: string, message: MeshMessage): boolean {
+    const at = this.deployment.nodes.findIndex((_, i) => this.name(i) === peer);
+    const to = this.processes.get(at);
+    if (!to) return false;
+    // Cloned when it is sent: what its sender changes later is not in the frame.
+    const sent = structuredClone(message);
+    return this.network.mesh(from, to.host, () => to.controller.onMessage(from.name, sent));
+  }
+
+  private connectMesh(): void {
+    for (const [i, { host, controller }] of this.processes) {
+      const open = [...this.processes.keys()].some((j) => j !== i && this.meshOpen(host, j));
+      if (open) host.clock.whenAwake(() => controller.onConnect());
+    }
+  }
+
+  // --- machines ---
+
+  private addWorker(machine: Rented): void {
+    const { deployment, time, network, workload, judge } = this;
+    const host: Host = {
+      name: machine.id,
+      zone: machine.zone,
+      kind: 'worker',
+      status: 'up',
+      clock: new HostClock(time, this.drift()),
+    };
+    const worker = new Worker(machine, host, {
+      time,
+      network,
+      random: seededRandom(this.random.below(1 << 30)),
+      workload,
+      watcher: judge,
+      reportMs: deployment.reportS * 1000,
+      leaseMs: deployment.leaseS * 1000,
+      nodes: deployment.nodes.map((zone, i) => ({ name: this.name(i), address: this.address(i), zone })),
+    });
+    this.workers.set(machine.id, worker);
+  }
+
+  private endWorker(machine: Rented): void {
+    const worker = this.workers.get(machine.id);
+    if (!worker) return;
+    this.lostSessions += worker.lostSessions;
+    worker.end();
+    this.workers.delete(machine.id);
+  }
+
+  /** Sessions that ended with tasks because no answer renewed their lease. */
+  get sessionsLost(): number {
+    return [...this.workers.values()].reduce((sum, w) => sum + w.lostSessions, this.lostSessions);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/constants.ts
@@ -0,0 +1,85 @@
+/** Every constant of the emulator, with its unit and its reason. What a deployment or a day sets is never here. */
+
+// --- network ---
+/** Milliseconds of a packet within a zone, and between zones; the fleet's deployments state about these. */
+export const SAME_ZONE_MS = 0.5;
+export const CROSS_ZONE_MS = 0.8;
+/** Ratio by which a packet's time varies. */
+export const JITTER = 0.25;
+/** Share of packets that are lost and sent again, and milliseconds until they are. */
+export const LOSS = 0.0003;
+export const RESEND_MS = 200;
+/** Milliseconds an idle connection stays open; later a call has to open another. */
+export const IDLE_CONNECTION_MS = 20_000;
+/** Milliseconds of a cut after which a connection with something on its way is given up by its ends. */
+export const CONNECTION_LIFE_MS = 15_000;
+/** Messages that cuts hold back at the most; the oldest are lost beyond it, as a full socket's buffer would. */
+export const HELD_MOST = 20_000;
+
+// --- clocks ---
+/** Ratio. By how much a steady clock may be off (PROTOCOL, first page). */
+export const DRIFT = 0.0005;
+
+// --- state service (PROTOCOL, "Controller nodes -> state service") ---
+/** Changes that the service keeps for those who follow. */
+export const HISTORY = 10_000;
+/** Items and bytes of a list's response at the most. */
+export const LIST_ITEMS = 1000;
+export const LIST_BYTES = 512 * 1024;
+/** Bytes of a transaction, and bytes of a key. */
+export const TXN_BYTES = 64 * 1024;
+export const KEY_BYTES = 200;
+/** Milliseconds a lease may end late. */
+export const LEASE_LATE_MS = 100;
+/** Milliseconds an answer takes, and now and then. */
+export const STATE_MS = 5;
+export const STATE_SLOW_MS = 300;
+export const STATE_SLOW_SHARE = 0.002;
+/** Milliseconds for which a transaction without an answer may still be applied. */
+export const STATE_LATE_MS = 30_000;
+
+// --- cloud (PROTOCOL, "Controller nodes -> cloud") ---
+export const RENT_MOST = 50;
+export const RETURN_MOST = 100;
+export const LIST_MOST = 500;
+/** Seconds' worth of calls that a burst may have. */
+export const CLOUD_BURST_S = 2;
+/** Milliseconds an answer takes. */
+export const CLOUD_MS = 200;
+/** Milliseconds for which a machine that died stays listed as running. */
+export const DEAD_LISTED_MS = 30_000;
+/** Share of machines that take several times as long to boot, and share that come up at once. */
+export const BOOT_SLOW = 0.03;
+export const BOOT_QUICK = 0.02;
+
+// --- workers (PROTOCOL, "Workers -> controller nodes") ---
+/** Milliseconds between two reports at least. */
+export const REPORT_GAP_MS = 500;
+/** Milliseconds a worker waits for an answer, and before it tries the next node. */
+export const REPORT_DEADLINE_MS = 4000;
+export const NEXT_NODE_MS = 1000;
+/** Ratio by which the interval of reports varies, and the speed of machines of a type. */
+export const REPORT_VARY = 0.25;
+export const SPEED_VARY = 0.1;
+/** Milliseconds after which a task fails on a machine that fails everything. */
+export const FAULT_MS = 400;
+
+// --- users (PROTOCOL, "Users -> controller nodes") ---
+export const SUBMIT_DEADLINE_MS = 5000;
+export const POLL_DEADLINE_MS = 2000;
+export const POLL_MS = 5000;
+export const RETRY_MS = 1000;
+export const RETRY_AFTER_MOST_MS = 30_000;
+export const RETRY_TOTAL_MS = 60_000;
+/** Milliseconds between the load balancer's probes of a node, and its deadlines. */
+export const PROBE_MS = 1000;
+export const PROBE_DEADLINE_MS = 1000;
+export const CONNECT_DEADLINE_MS = 500;
+/** Milliseconds for which every poll of a job must fail, while most others are answered, for it to count as forgotten. */
+export const FORGOTTEN_MS = 90_000;
+/** Polls of a job that must have failed in that time: fewer prove nothing. */
+export const FORGOTTEN_POLLS = 6;
+
+// --- judging ---
+/** CPUs. What sums of amounts may be off by rounding. */
+export const ROUNDING = 1e-6;
--- /dev/null
+++ b/packages/emulator/src/day-file.ts
@@ -0,0 +1,77 @@
+import * as z from 'zod/mini';
+import type { Day } from './day.ts';
+
+const second = z.number().check(z.minimum(0), z.maximum(100_000));
+const share = z.number().check(z.minimum(0), z.maximum(1));
+const index = z.int().check(z.minimum(0), z.maximum(100));
+const mode = z.enum(['drop', 'hold', 'reset', 'refuse']);
+const when = { atS: second, forS: second };
+
+const fault = z.discriminatedUnion('kind', [
+  z.object({ ...when, kind: z.literal('end'), node: index }),
+  z.object({ ...when, kind: z.literal('end all') }),
+  z.object({ ...when, kind: z.literal('rolling'), gapS: second }),
+  z.object({ ...when, kind: z.literal('freeze'), node: index }),
+  z.object({ ...when, kind: z.literal('outage') }),
+  z.object({ ...when, kind: z.literal('refused'), node: index }),
+  z.object({ ...when, kind: z.literal('late transactions'), share }),
+  z.object({ ...when, kind: z.literal('cloud outage') }),
+  z.object({ ...when, kind: z.literal('late cloud'), share }),
+  z.object({
+    ...when,
+    kind: z.literal('cut'),
+    node: index,
+    from: z.enum(['all', 'state', 'workers', 'siblings', 'cloud', 'users']),
+    mode,
+  }),
+  z.object({ ...when, kind: z.literal('zone cut'), zone: index, mode }),
+  z.object({ ...when, kind: z.literal('zones apart'), zone: index, other: index, mode }),
+  z.object({ ...when, kind: z.literal('hang'), share }),
+  z.object({ ...when, kind: z.literal('die'), share }),
+  z.object({ ...when, kind: z.literal('sick'), share }),
+  z.object({ ...when, kind: z.literal('taken'), share, noticeS: second }),
+  z.object({ ...when, kind: z.literal('slow boots'), factor: z.number().check(z.positive()) }),
+  z.object({ ...when, kind: z.literal('no capacity') }),
+]);
+
+const job = z.object({
+  atS: second,
+  team: index,
+  tasks: z.int().check(z.minimum(1), z.maximum(100_000)),
+  cores: z.number().check(z.positive()),
+  runS: z.number().check(z.positive()),
+  priority: z.int().check(z.minimum(0), z.maximum(3)),
+  rule: z.enum(['any', 'one zone', 'spread', 'a zone', 'a type']),
+  spot: z.boolean(),
+  checkpoint: z.boolean(),
+  service: z.boolean(),
+  broken: z.boolean(),
+  cancelAfterS: z.nullable(second),
+  againAfterS: z.nullable(second),
+});
+
+const day = z.object({
+  seed: z.int(),
+  zones: z.int().check(z.minimum(1), z.maximum(3)),
+  nodes: z.int().check(z.minimum(1), z.maximum(12)),
+  machines: z.int().check(z.minimum(1), z.maximum(1000)),
+  capacity: z.int().check(z.minimum(1), z.maximum(10)),
+  pace: z.union([z.literal(0), z.literal(1)]),
+  teamLimits: z.array(z.number().check(z.minimum(0))).check(z.maxLength(3)),
+  jobs: z.array(job),
+  faults: z.array(fault),
+});
+
+/** A day from its JSON. Throws an error of one line that names the field where it is bad. */
+export function readDay(text: string): Day {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(text);
+  } catch {
+    throw new Error('not JSON');
+  }
+  const result = z.safeParse(day, raw);
+  if (result.success) return result.data;
+  const issue = result.error.issues[0];
+  throw new Error(`${issue?.path.join('.') ?? '?'}: ${issue?.message ?? 'invalid'}`);
+}
--- /dev/null
+++ b/packages/emulator/src/day.ts
@@ -0,0 +1,234 @@
+import fc from 'fast-check';
+import type { CutMode } from './network.ts';
+
+/** What goes wrong on a day, and when; times in virtual seconds, hosts and shares resolved by the cluster at hand. */
+export type Fault = { atS: number; forS: number } & (
+  | { kind: 'end'; node: number }
+  | { kind: 'end all' }
+  | { kind: 'rolling'; gapS: number }
+  | { kind: 'freeze'; node: number }
+  | { kind: 'outage' }
+  | { kind: 'refused'; node: number }
+  | { kind: 'late transactions'; share: number }
+  | { kind: 'cloud outage' }
+  | { kind: 'late cloud'; share: number }
+  | {
+      kind: 'cut';
+      node: number;
+      from: 'all' | 'state' | 'workers' | 'siblings' | 'cloud' | 'users';
+      mode: CutMode;
+    }
+  | { kind: 'zone cut'; zone: number; mode: CutMode }
+  | { kind: 'zones apart'; zone: number; other: number; mode: CutMode }
+  | { kind: 'hang'; share: number }
+  | { kind: 'die'; share: number }
+  | { kind: 'sick'; share: number }
+  | { kind: 'taken'; share: number; noticeS: number }
+  | { kind: 'slow boots'; factor: number }
+  | { kind: 'no capacity' }
+);
+
+/** A job as a day draws it. */
+export interface JobDraw {
+  atS: number;
+  team: number;
+  tasks: number;
+  cores: number;
+  runS: number;
+  priority: number;
+  rule: 'any' | 'one zone' | 'spread' | 'a zone' | 'a type';
+  spot: boolean;
+  checkpoint: boolean;
+  service: boolean;
+  broken: boolean;
+  cancelAfterS: number | null;
+  againAfterS: number | null;
+}
+
+export interface Day {
+  seed: number;
+  zones: number;
+  nodes: number;
+  /** Machines up at the start in each zone, and how many the cloud has for each of them. */
+  machines: number;
+  capacity: number;
+  /** 0: reports every 2.5 s and leases of 16 s; 1: 5 s and 31 s; as the fleet's two deployments. */
+  pace: 0 | 1;
+  /** CPUs at most of each team; 0: no limit. */
+  teamLimits: number[];
+  jobs: JobDraw[];
+  faults: Fault[];
+}
+
+export interface Size {
+  zones: [number, number];
+  nodes: [number, number];
+  machines: [number, number];
+  jobs: [number, number];
+  tasks: number;
+  faults: [number, number];
+  /** Virtual seconds within which jobs come and faults begin. */
+  spanS: number;
+  /** Only these kinds of faults; all without it. */
+  only?: Fault['kind'][];
+  /** Seconds that all tasks run; drawn for each job without it. */
+  runS?: [number, number];
+}
+
+/**
+ * `storm`: few machines, and as much going wrong and waiting at once as fits. `silence`: machines that nobody hears and
+ * nobody can return, under tasks longer than a lease, so that it is the end of their leases that frees tasks.
+ * `strangers`: controllers and zones that are there and cannot reach what the others do.
+ */
+export const sizes: Record<'small' | 'storm' | 'silence' | 'strangers' | 'middle' | 'fleet', Size> = {
+  small: {
+    zones: [1, 3],
+    nodes: [1, 5],
+    machines: [1, 3],
+    jobs: [1, 8],
+    tasks: 24,
+    faults: [0, 7],
+    spanS: 70,
+  },
+  storm: {
+    zones: [2, 3],
+    nodes: [3, 5],
+    machines: [2, 4],
+    jobs: [6, 12],
+    tasks: 40,
+    faults: [5, 12],
+    spanS: 50,
+  },
+  silence: {
+    zones: [1, 1],
+    nodes: [1, 2],
+    machines: [16, 24],
+    jobs: [2, 3],
+    tasks: 40,
+    faults: [4, 8],
+    spanS: 40,
+    only: ['hang', 'cloud outage'],
+    runS: [60, 120],
+  },
+  strangers: {
+    zones: [2, 3],
+    nodes: [3, 4],
+    machines: [2, 4],
+    jobs: [8, 14],
+    tasks: 30,
+    faults: [2, 6],
+    spanS: 40,
+    only: ['refused', 'cut', 'zone cut', 'zones apart', 'late transactions'],
+  },
+  middle: {
+    zones: [1, 3],
+    nodes: [2, 6],
+    machines: [4, 20],
+    jobs: [1, 20],
+    tasks: 80,
+    faults: [0, 8],
+    spanS: 90,
+  },
+  fleet: {
+    zones: [3, 3],
+    nodes: [5, 6],
+    machines: [120, 400],
+    jobs: [20, 60],
+    tasks: 200,
+    faults: [1, 6],
+    spanS: 100,
+  },
+};
+
+const modes: CutMode[] = ['drop', 'hold', 'reset', 'refuse'];
+
+/** Days of a size, with every kind of fault and any overlap of them. */
+export function days(size: Size): fc.Arbitrary<Day> {
+  const int = (min: number, max: number): fc.Arbitrary<number> => fc.integer({ min, max });
+  const node = int(0, size.nodes[1] - 1);
+  const zone = int(0, 2);
+  const mode = fc.constantFrom(...modes);
+  const share = fc.constantFrom(0.1, 0.3, 0.6, 1);
+  // Some last longer than a lease and a cancellation together.
+  const forS = fc.oneof({ weight: 3, arbitrary: int(1, 40) }, { weight: 1, arbitrary: int(40, 110) });
+  const when = { atS: int(5, size.spanS), forS };
+  type Fields = Record<string, fc.Arbitrary<unknown>>;
+  const kind = (
+    weight: number,
+    name: Fault['kind'],
+    fields: Fields,
+  ): { weight: number; name: Fault['kind']; fields: Fields } => ({ weight, name, fields });
+  const kinds = [
+    kind(4, 'end', { node }),
+    kind(3, 'end all', {}),
+    kind(2, 'rolling', { gapS: int(3, 12) }),
+    kind(4, 'freeze', { node }),
+    kind(4, 'outage', {}),
+    kind(4, 'refused', { node }),
+    kind(2, 'late transactions', { share: fc.constantFrom(0.05, 0.3) }),
+    kind(3, 'cloud outage', {}),
+    kind(1, 'late cloud', { share: fc.constantFrom(0.1, 0.5) }),
+    kind(6, 'cut', {
+      node,
+      from: fc.constantFrom(
+        'all' as const,
+        'state' as const,
+        'workers' as const,
+        'siblings' as const,
+        'cloud' as const,
+        'users' as const,
+      ),
+      mode,
+    }),
+    kind(4, 'zone cut', { zone, mode }),
+    kind(3, 'zones apart', { zone, other: zone, mode }),
+    kind(3, 'hang', { share }),
+    kind(2, 'die', { share: fc.constantFrom(0.1, 0.3) }),
+    kind(2, 'sick', { share: fc.constantFrom(0.1, 0.3) }),
+    kind(2, 'taken', { share, noticeS: fc.constantFrom(0, 10, 25) }),
+    kind(1, 'slow boots', { factor: fc.constantFrom(2, 4) }),
+    kind(1, 'no capacity', {}),
+  ];
+  const wanted = kinds.filter(({ name }) => size.only?.includes(name) ?? true);
+  const fault = fc.oneof(
+    ...wanted.map(({ weight, name, fields }) => ({
+      weight,
+      arbitrary: fc.record({ ...when, kind: fc.constant(name), ...fields }) as unknown as fc.Arbitrary<Fault>,
+    })),
+  );
+  const job: fc.Arbitrary<JobDraw> = fc.record({
+    atS: int(0, size.spanS),
+    team: int(0, 2),
+    tasks: int(1, size.tasks),
+    cores: fc.constantFrom(1, 2, 2, 4, 8),
+    runS: size.runS
+      ? int(...size.runS)
+      : fc.oneof({ weight: 4, arbitrary: int(2, 25) }, { weight: 1, arbitrary: int(30, 90) }),
+    priority: int(0, 3),
+    rule: fc.constantFrom(
+      'any' as const,
+      'any' as const,
+      'one zone' as const,
+      'spread' as const,
+      'a zone' as const,
+      'a type' as const,
+    ),
+    spot: fc.boolean(),
+    checkpoint: fc.boolean(),
+    service: fc.constantFrom(false, false, false, true),
+    broken: fc.constantFrom(...Array<boolean>(9).fill(false), true),
+    cancelAfterS: fc.option(int(1, 50), { freq: 3 }),
+    againAfterS: fc.option(int(1, 120), { freq: 4 }),
+  });
+  return fc.record({
+    seed: int(0, 2 ** 30),
+    zones: int(...size.zones),
+    nodes: int(...size.nodes),
+    machines: int(...size.machines),
+    capacity: int(1, 3),
+    pace: fc.constantFrom(0 as const, 1 as const),
+    teamLimits: fc.tuple(fc.constantFrom(0, 16, 40, 400), fc.constantFrom(0, 24, 4000), fc.constant(0)),
+    jobs: fc.array(job, { minLength: size.jobs[0], maxLength: size.jobs[1], size: 'max' }),
+    faults: fc.array(fault, { minLength: size.faults[0], maxLength: size.faults[1], size: 'max' }),
+  });
+}
--- /dev/null
+++ b/packages/emulator/src/explore.ts
@@ -0,0 +1,144 @@
+import { Command, InvalidArgumentError } from 'commander';
+import { availableParallelism } from 'node:os';
+import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads';
+import type { Day } from './day.ts';
+import { readDay } from './day-file.ts';
+import { daySeed, type Explored, explore, runDigest, shrink, type SizeName } from './explorer.ts';
+import { playDay } from './play.ts';
+import { sizes } from './day.ts';
+
+const BAD_INPUT = 2;
+const BROKEN = 1;
+/** Milliseconds that the shrinking of one failing day may take. */
+const SHRINK_MS = 60_000;
+/** Failing days that are shrunk; the others are listed only. */
+const SHRUNK_MOST = 3;
+
+interface Task {
+  size: SizeName;
+  seed: number;
+}
+interface Found {
+  number: number;
+  explored: Explored;
+}
+
+function whole(least: number): (text: string) => number {
+  return (text) => {
+    const value = Number(text);
+    if (!/^\d+$/.test(text) || value < least || !Number.isSafeInteger(value))
+      throw new InvalidArgumentError(`a whole number from ${String(least)} up is expected.`);
+    return value;
+  };
+}
+
+function sizeName(text: string): SizeName {
+  if (Object.hasOwn(sizes, text)) return text as SizeName;
+  throw new InvalidArgumentError(`one of ${Object.keys(sizes).join(', ')} is expected.`);
+}
+
+function dayOf(text: string): Day {
+  try {
+    return readDay(text);
+  } catch (error) {
+    const [line] = String(error instanceof Error ? error.message : error).split('\n');
+    throw new InvalidArgumentError(line ?? 'unreadable');
+  }
+}
+
+const line = (text: string): void => void process.stdout.write(`${text}\n`);
+
+function tell(explored: Explored): void {
+  const { day, outcome } = explored;
+  for (const v of outcome.violations) line(`  ${v.rule} at ${v.atS.toFixed(3)} s: ${v.detail}`);
+  line(`  npm run explore -- --day '${JSON.stringify(day)}'`);
+}
+
+/** One thread a core; each takes the next day when it is through with one. */
+function playAll(seed: number, count: number, size: SizeName, threads: number): Promise<Found[]> {
+  const found: Found[] = [];
+  let next = 0;
+  return new Promise((resolve, reject) => {
+    let open = Math.min(threads, count);
+    for (let t = open; t > 0; t--) {
+      const worker = new Worker(process.argv[1] ?? '', { workerData: 'days' });
+      let number = -1;
+      const give = (): void => {
+        if (next >= count) {
+          void worker.terminate();
+          if (--open === 0) resolve(found.sort((a, b) => a.number - b.number));
+          return;
+        }
+        number = next++;
+        worker.postMessage({ size, seed: daySeed(seed, number) } satisfies Task);
+      };
+      worker.on('message', (explored: Explored) => {
+        found.push({ number, explored });
+        if (found.length % 500 === 0)
+          process.stderr.write(`${String(found.length)} of ${String(count)} days\n`);
+        give();
+      });
+      worker.on('error', (error) => reject(new Error(`day ${String(number)}: ${String(error)}`)));
+      give();
+    }
+  });
+}
+
+async function run(options: {
+  seed: number;
+  days: number;
+  size: SizeName;
+  threads: number;
+  day?: Day;
+}): Promise<number> {
+  if (options.day) {
+    const outcome = await playDay(options.day);
+    for (const v of outcome.violations) line(`${v.rule} at ${v.atS.toFixed(3)} s: ${v.detail}`);
+    line(
+      `${String(outcome.started)} tasks started, ${String(outcome.completed)} completed, in ${outcome.virtualS.toFixed(0)} virtual seconds`,
+    );
+    line(outcome.digest);
+    return outcome.violations.length > 0 ? BROKEN : 0;
+  }
+  const began = performance.now();
+  const found = await playAll(options.seed, options.days, options.size, options.threads);
+  const sum = (of: (e: Explored) => number): number => found.reduce((n, f) => n + of(f.explored), 0);
+  const failed = found.filter((f) => f.explored.outcome.violations.length > 0);
+  const virtualS = sum((e) => e.outcome.virtualS);
+  const seconds = (performance.now() - began) / 1000;
+  line(
+    `${String(found.length)} days, ${String(sum((e) => e.day.faults.length))} faults, ${String(sum((e) => e.outcome.started))} tasks started, ` +
+      `${(virtualS / 3600).toFixed(1)} virtual hours, ${(virtualS / seconds).toFixed(0)} virtual seconds a second`,
+  );
+  line(`${String(failed.length)} days broke a rule`);
+  for (const [i, { number, explored }] of failed.entries()) {
+    const rule = explored.outcome.violations[0]?.rule ?? '';
+    line(`day ${String(number)}: ${rule}`);
+    const smaller =
+      i < SHRUNK_MOST ? await shrink(options.size, daySeed(options.seed, number), rule, SHRINK_MS) : null;
+    tell(smaller ?? explored);
+  }
+  line(runDigest(found.map((f) => f.explored.outcome.digest)));
+  return failed.length > 0 ? BROKEN : 0;
+}
+
+async function main(): Promise<void> {
+  const command = new Command('explore')
+    .description('Plays days drawn by seed on the emulator and judges every event after the rules.')
+    .option('--seed <n>', 'the seed of the run', whole(0), 1)
+    .option('--days <n>', 'how many days', whole(1), 20)
+    .option('--size <name>', `${Object.keys(sizes).join(', ')}`, sizeName, 'small' as SizeName)
+    .option('--threads <n>', 'days played at once', whole(1), availableParallelism())
+    .option('--day <json>', 'one day again, as a run printed it', dayOf)
+    .allowExcessArguments(false)
+    .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : BAD_INPUT))
+    .parse();
+  process.exitCode = await run(command.opts());
+}
+
+if (isMainThread) void main();
+else if (workerData === 'days') {
+  parentPort?.on('message', (task: Task) => {
+    void explore(task.size, task.seed).then((explored) => parentPort?.postMessage(explored));
+  });
+}
--- /dev/null
+++ b/packages/emulator/src/faults.ts
@@ -0,0 +1,178 @@
+import type { Random } from '@onyxkeel/scheduler';
+import type { Cluster } from './cluster.ts';
+import type { Fault } from './day.ts';
+import type { Host } from './network.ts';
+import type { Worker } from './worker.ts';
+
+/** Milliseconds after which the platform starts a controller that ended again (DEPLOY: about 6 s). */
+const RESTART_MS = 6000;
+/** Milliseconds for which a controller that is restarted in order is away. */
+const ROLLING_MS = 2500;
+
+/** Faults of a day, each begun and ended at its time. What overlaps is counted, so that an end ends its own only. */
+export class Faults {
+  private readonly ends: (() => void)[] = [];
+  private outages = 0;
+  private readonly refusals = new Map<number, number>();
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly random: Random,
+  ) {}
+
+  /** Sets a fault up to begin at its time, counted from `fromMs`. */
+  plan(fault: Fault, fromMs: number): void {
+    this.cluster.time.at(fromMs + fault.atS * 1000, () => this.begin(fault));
+  }
+
+  /** When the last effect of a fault that its `forS` does not name is over: the restart of what it ended. */
+  static overS(fault: Fault, nodes: number): number {
+    if (fault.kind === 'rolling') return fault.atS + fault.gapS * nodes + (ROLLING_MS + RESTART_MS) / 1000;
+    return fault.atS + fault.forS + RESTART_MS / 1000;
+  }
+
+  /** Ends all that still goes on, and brings back what has ended. */
+  clear(): void {
+    for (const end of this.ends.splice(0)) end();
+    for (let node = 0; node < this.cluster.deployment.nodes.length; node++) this.cluster.start(node);
+  }
+
+  private begin(fault: Fault): void {
+    this.cluster.judge.note(`fault ${JSON.stringify(fault)}`);
+    const undo = this.carryOut(fault);
+    if (!undo) return;
+    let ended = false;
+    const end = (): void => {
+      if (ended) return;
+      ended = true;
+      undo();
+    };
+    this.ends.push(end);
+    this.cluster.time.after(fault.forS * 1000, end);
+  }
+
+  /** Begins the fault; returns what ends it, if anything does. */
+  private carryOut(fault: Fault): (() => void) | null {
+    const { cluster } = this;
+    const { cloud, state, deployment } = cluster;
+    const nodeOf = (node: number): number => node % deployment.nodes.length;
+    switch (fault.kind) {
+      case 'end':
+        this.endNode(nodeOf(fault.node), RESTART_MS + fault.forS * 200);
+        return null;
+      case 'end all':
+        for (let n = 0; n < deployment.nodes.length; n++)
+          this.endNode(n, RESTART_MS + this.random.below(1500));
+        return null;
+      case 'rolling':
+        for (let n = 0; n < deployment.nodes.length; n++) {
+          cluster.time.after(n * fault.gapS * 1000, () => this.endNode(n, ROLLING_MS));
+        }
+        return null;
+      case 'freeze':
+        cluster.freeze(nodeOf(fault.node), fault.forS * 1000);
+        return null;
+      case 'outage':
+        if (this.outages++ === 0) state.setOutage(true);
+        return () => {
+          if (--this.outages === 0) state.setOutage(false);
+        };
+      case 'refused':
+        return this.refuse(nodeOf(fault.node));
+      case 'late transactions':
+        state.lateShare = fault.share;
+        return () => (state.lateShare = 0);
+      case 'cloud outage':
+        cloud.outage = true;
+        return () => (cloud.outage = false);
+      case 'late cloud':
+        cloud.lateShare = fault.share;
+        return () => (cloud.lateShare = 0);
+      case 'cut':
+        return cluster.network.cut(fault.mode, this.around(nodeOf(fault.node), fault.from));
+      case 'zone cut': {
+        const zone = this.zone(fault.zone);
+        return cluster.network.cut(fault.mode, (a, b) => a.zone === zone && b.zone !== zone);
+      }
+      case 'zones apart': {
+        const [one, other] = [this.zone(fault.zone), this.zone(fault.other)];
+        if (one === other) return null;
+        return cluster.network.cut(fault.mode, (a, b) => a.zone === one && b.zone === other);
+      }
+      case 'hang':
+        for (const w of this.some(fault.share)) {
+          w.host.clock.frozenUntil = cluster.time.now + this.random.below(fault.forS * 1000);
+        }
+        return null;
+      case 'die':
+        for (const w of this.some(fault.share)) cloud.die(w.id);
+        return null;
+      case 'sick': {
+        const sick = this.some(fault.share);
+        for (const w of sick) w.faulty = true;
+        return () => sick.forEach((w) => (w.faulty = false));
+      }
+      case 'taken':
+        for (const w of this.some(fault.share, true)) {
+          if (fault.noticeS > 0) w.notice(fault.noticeS);
+          cluster.time.after(fault.noticeS * 500 + this.random.below(1000 * fault.noticeS + 1), () =>
+            cloud.take(w.id),
+          );
+        }
+        return null;
+      case 'slow boots':
+        cloud.bootFactor = fault.factor;
+        return () => (cloud.bootFactor = 1);
+      case 'no capacity':
+        cloud.dry = true;
+        return () => (cloud.dry = false);
+    }
+  }
+
+  private endNode(node: number, backMs: number): void {
+    this.cluster.end(node);
+    this.cluster.time.after(backMs, () => this.cluster.start(node));
+  }
+
+  private refuse(node: number): () => void {
+    // By place and not by process: a restart does not help it.
+    const set = (refused: boolean): void => {
+      const host = this.cluster.host(node);
+      if (host) this.cluster.state.setRefused(host, refused);
+    };
+    this.refusals.set(node, (this.refusals.get(node) ?? 0) + 1);
+    set(true);
+    return () => {
+      const left = (this.refusals.get(node) ?? 1) - 1;
+      this.refusals.set(node, left);
+      if (left === 0) set(false);
+    };
+  }
+
+  private zone(zone: number): string {
+    const { zones } = this.cluster.deployment;
+    return zones[zone % zones.length] ?? '';
+  }
+
+  private around(
+    node: number,
+    from: 'all' | 'state' | 'workers' | 'siblings' | 'cloud' | 'users',
+  ): (a: Host, b: Host) => boolean {
+    const name = `node-${String(node)}`;
+    const far = {
+      all: null,
+      state: 'state',
+      workers: 'worker',
+      siblings: 'node',
+      cloud: 'cloud',
+      users: 'users',
+    }[from];
+    return (a, b) => a.name === name && b.name !== name && (far === null || b.kind === far);
+  }
+
+  /** Some of the machines that are up. */
+  private some(share: number, spotOnly = false): Worker[] {
+    const all = [...this.cluster.workers.values()].filter((w) => w.machine.spot || !spotOnly);
+    return all.filter(() => this.random.below(1000) < share * 1000);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/judge.ts
@@ -0,0 +1,229 @@
+import { createHash, type Hash } from 'node:crypto';
+import { FORGOTTEN_MS, FORGOTTEN_POLLS, ROUNDING } from './constants.ts';
+import type { Causal, ToldState } from './protocol/wire.ts';
+import type { VirtualTime } from './time.ts';
+import type { TaskWatcher, Worker } from './worker.ts';
+import type { Work, Workload } from './workload.ts';
+
+/**
+ * The rules of PROTOCOL "Rules", and besides: `ran_again`, a task that starts though its worker was told to forget its
+ * result; `stuck`, an accepted job that does not end once faults are over; `over_limit`, calls above an outside
+ * service's limits; `crashed`, an error that nobody caught.
+ */
+export type Rule =
+  | 'ran_twice'
+  | 'quota'
+  | 'wrong_place'
+  | 'ran_cancelled'
+  | 'forgotten'
+  | 'invented'
+  | 'not_done'
+  | 'went_back'
+  | 'nothing_ran'
+  | 'ran_again'
+  | 'stuck'
+  | 'over_limit'
+  | 'crashed';
+
+export interface Violation {
+  rule: Rule;
+  /** Virtual seconds. */
+  atS: number;
+  detail: string;
+}
+
+export type Question = 'submit' | 'poll' | 'withdraw';
+
+interface JobHistory {
+  /** When its user was first told that it is accepted. */
+  acceptedAt: number;
+  final: { state: 'done' | 'cancelled'; at: number } | null;
+  cancelAsked: boolean;
+  /** Polls failed since one was last answered. */
+  failedSince: number;
+  failedPolls: number;
+}
+
+/**
+ * Judges a history event by event and writes it into a digest. What users know is judged by when they asked: an
+ * answer is an older one only if the question was put after the newer answer was in.
+ */
+export class Judge implements TaskWatcher {
+  readonly violations: Violation[] = [];
+  started = 0;
+  completed = 0;
+  /** Starts of tasks that had been started before. */
+  repeated = 0;
+  private readonly digest: Hash = createHash('sha256');
+  /** By task, the machines that it is on. */
+  private readonly on = new Map<string, Set<Worker>>();
+  private readonly byJob = new Map<string, Set<string>>();
+  private readonly used = new Map<string, number>();
+  private readonly jobs = new Map<string, JobHistory>();
+  private readonly everStarted = new Set<string>();
+  private readonly resultTaken = new Set<string>();
+  private readonly polls = { answered: 0, failed: 0 };
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly workload: Workload,
+    private readonly limits: { teamCores: Map<string, number>; cancelMs: number },
+  ) {}
+
+  /** The history so far, in hexadecimal: the same days come to the same digest. */
+  get digestHex(): string {
+    return this.digest.copy().digest('hex');
+  }
+
+  break(rule: Rule, detail: string): void {
+    this.note(`broken ${rule} ${detail}`);
+    this.violations.push({ rule, atS: this.time.now / 1000, detail });
+  }
+
+  note(text: string): void {
+    this.digest.update(`${this.time.now.toFixed(3)} ${text}\n`);
+  }
+
+  // --- tasks on machines ---
+
+  onStart(worker: Worker, task: string, attempt: number, work: Work): void {
+    this.note(`start ${task} ${String(attempt)} ${worker.id}`);
+    this.started++;
+    if (this.everStarted.has(task)) this.repeated++;
+    this.everStarted.add(task);
+    if (this.resultTaken.has(task))
+      this.break('ran_again', `${task} starts on ${worker.id}, its result was taken`);
+    const { spec } = work;
+    const machines = this.on.get(task) ?? new Set<Worker>();
+    for (const other of machines) {
+      if (other !== worker) this.break('ran_twice', `${task} starts on ${worker.id}, is on ${other.id}`);
+    }
+    machines.add(worker);
+    this.on.set(task, machines);
+    const tasks = this.byJob.get(spec.id) ?? new Set<string>();
+    tasks.add(task);
+    this.byJob.set(spec.id, tasks);
+    const used = (this.used.get(spec.team) ?? 0) + spec.cores;
+    this.used.set(spec.team, used);
+    const most = this.limits.teamCores.get(spec.team) ?? 0;
+    if (most > 0 && used > most + ROUNDING)
+      this.break('quota', `${spec.team} uses ${String(used)} of ${String(most)} at the start of ${task}`);
+    this.judgePlace(worker, task, work, tasks);
+    const final = this.jobs.get(spec.id)?.final;
+    if (final?.state === 'cancelled' && this.time.now > final.at + this.limits.cancelMs)
+      this.break('ran_cancelled', `${task} starts on ${worker.id}, cancelled at ${String(final.at / 1000)}`);
+  }
+
+  private judgePlace(worker: Worker, task: string, work: Work, tasks: Set<string>): void {
+    const { spec } = work;
+    const { type, zone, spot } = worker.machine;
+    const wrong = (why: string): void => this.break('wrong_place', `${task} on ${worker.id}: ${why}`);
+    if (spec.types !== null && !spec.types.includes(type.name)) wrong(`type ${type.name}`);
+    if (spec.zone !== null && spec.zone !== zone) wrong(`zone ${zone}`);
+    if (spot && !spec.spot) wrong('a spot machine');
+    if (!spec.oneZone && !spec.spread) return;
+    const inZone = new Map<string, number>();
+    for (const other of tasks) {
+      for (const machine of this.on.get(other) ?? []) {
+        const at = machine.machine.zone;
+        inZone.set(at, (inZone.get(at) ?? 0) + 1);
+      }
+    }
+    if (spec.oneZone && inZone.size > 1) wrong('others are in another zone');
+    if (spec.spread && (inZone.get(zone) ?? 0) > Math.ceil(spec.tasks / 2)) wrong('too many in one zone');
+  }
+
+  onEnd(worker: Worker, task: string, attempt: number, why: Causal | 'lost', work: Work): void {
+    this.note(`end ${task} ${String(attempt)} ${worker.id} ${why}`);
+    if (why === 'done') this.completed++;
+    this.on.get(task)?.delete(worker);
+    if (this.on.get(task)?.size === 0) {
+      this.on.delete(task);
+      this.byJob.get(work.spec.id)?.delete(task);
+    }
+    this.used.set(work.spec.team, (this.used.get(work.spec.team) ?? 0) - work.spec.cores);
+  }
+
+  onResultTaken(task: string, work: Work): void {
+    if (work.spec.kind === 'batch') this.resultTaken.add(task);
+  }
+
+  /** Tasks on machines now, by job. */
+  running(job: string): string[] {
+    return [...(this.byJob.get(job) ?? [])];
+  }
+
+  // --- users ---
+
+  private job(id: string): JobHistory {
+    const known = this.jobs.get(id);
+    if (known) return known;
+    const made: JobHistory = {
+      acceptedAt: Infinity,
+      final: null,
+      cancelAsked: false,
+      failedSince: Infinity,
+      failedPolls: 0,
+    };
+    this.jobs.set(id, made);
+    return made;
+  }
+
+  isAccepted(id: string): boolean {
+    return this.job(id).acceptedAt !== Infinity;
+  }
+
+  finalState(id: string): 'done' | 'cancelled' | null {
+    return this.job(id).final?.state ?? null;
+  }
+
+  onCancelAsked(id: string): void {
+    this.job(id).cancelAsked = true;
+  }
+
+  /** An answer to a user. `state` is what a 200 or 201 tells; status 0: no answer came. */
+  onAnswer(id: string, question: Question, askedAt: number, status: number, state: ToldState | null): void {
+    this.note(`told ${id} ${question} ${String(status)} ${state ?? '-'}`);
+    const job = this.job(id);
+    const work = this.workload.get(id);
+    if (question === 'poll') this.judgePolls(id, job, status === 200 || status === 404);
+    if (status === 404 && askedAt >= job.acceptedAt)
+      this.break('forgotten', `${id}: ${question} answered 404`);
+    if (question === 'submit' && (status === 400 || status === 422) && askedAt >= job.acceptedAt)
+      this.break('forgotten', `${id}: repeated submission answered ${String(status)}`);
+    if ((status !== 200 && status !== 201) || state === null) return;
+    if (!work?.submitted) this.break('invented', `${id}: ${question} answered ${String(status)}`);
+    if (job.acceptedAt === Infinity && question !== 'withdraw') job.acceptedAt = this.time.now;
+    if (job.final && askedAt >= job.final.at && state !== job.final.state)
+      this.break('went_back', `${id}: was told ${job.final.state}, is told ${state}`);
+    if (state === 'cancelled' && !job.cancelAsked) this.break('went_back', `${id}: cancelled by nobody`);
+    if (state === 'done' && work && work.results.size < work.spec.tasks)
+      this.break('not_done', `${id}: ${String(work.results.size)} of ${String(work.spec.tasks)} tasks done`);
+    if (job.final || (state !== 'done' && state !== 'cancelled')) return;
+    job.final = { state, at: this.time.now };
+    if (state === 'cancelled') this.time.after(this.limits.cancelMs + 1, () => this.judgeCancelled(id));
+  }
+
+  private judgeCancelled(id: string): void {
+    for (const task of this.running(id)) {
+      const at = [...(this.on.get(task) ?? [])].map((worker) => worker.id).join(' ');
+      this.break('ran_cancelled', `${task} is still on ${at}`);
+    }
+  }
+
+  private judgePolls(id: string, job: JobHistory, answered: boolean): void {
+    if (answered) {
+      this.polls.answered++;
+      job.failedSince = Infinity;
+      job.failedPolls = 0;
+      return;
+    }
+    this.polls.failed++;
+    job.failedPolls++;
+    job.failedSince = Math.min(job.failedSince, this.time.now);
+    if (this.time.now - job.failedSince < FORGOTTEN_MS || job.failedPolls < FORGOTTEN_POLLS) return;
+    if (this.polls.answered <= this.polls.failed) return;
+    this.break('forgotten', `${id}: every poll failed for ${String(FORGOTTEN_MS / 1000)} s`);
+    job.failedSince = Infinity;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/load-balancer.ts
@@ -0,0 +1,105 @@
+import { NoAnswer, type Random } from '@onyxkeel/scheduler';
+import { PROBE_DEADLINE_MS, PROBE_MS } from './constants.ts';
+import type { Host, Network } from './network.ts';
+import type { VirtualTime } from './time.ts';
+
+/** Milliseconds a node stays out after its first removal, the most it doubles to, and within what time it does. */
+const PAUSE_MS = 3000;
+const PAUSE_MOST_MS = 60_000;
+const PAUSE_WINDOW_MS = 120_000;
+
+export interface Balanced {
+  readonly address: string;
+  connections: number;
+  healthy: boolean;
+  everHealthy: boolean;
+  /** The last probes, the newest last. */
+  probes: boolean[];
+  removedAt: number;
+  pauseMs: number;
+  /** Connections in a row that failed, and until when it is passed over for them. */
+  failures: number;
+  passedOverUntil: number;
+}
+
+/** The load balancer in front of the controllers, by PROTOCOL "Users -> controller nodes". */
+export class LoadBalancer {
+  readonly nodes: Balanced[];
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly random: Random,
+    private readonly network: Network,
+    private readonly host: Host,
+    addresses: string[],
+  ) {
+    this.nodes = addresses.map((address) => ({
+      address,
+      connections: 0,
+      healthy: false,
+      everHealthy: false,
+      probes: [],
+      removedAt: -Infinity,
+      pauseMs: PAUSE_MS,
+      failures: 0,
+      passedOverUntil: -Infinity,
+    }));
+    this.nodes.forEach((node, i) =>
+      this.time.after((i * PROBE_MS) / this.nodes.length, () => this.probe(node)),
+    );
+  }
+
+  private probe(node: Balanced): void {
+    this.time.after(PROBE_MS, () => this.probe(node));
+    const call = {
+      address: node.address,
+      method: 'GET' as const,
+      path: '/ready',
+      deadlineMs: PROBE_DEADLINE_MS,
+    };
+    void this.network.exchange(this.host, call).then(
+      (reply) => this.probed(node, reply.status === 200),
+      (error: unknown) => {
+        if (!(error instanceof NoAnswer)) throw error;
+        this.probed(node, false);
+      },
+    );
+  }
+
+  private probed(node: Balanced, well: boolean): void {
+    const { now } = this.time;
+    node.probes = [...node.probes.slice(-5), well];
+    const lastTwo = node.probes.slice(-2);
+    if (node.healthy) {
+      const bad = node.probes.filter((p) => !p).length;
+      if (bad < 3 && !(lastTwo.length === 2 && lastTwo.every((p) => !p))) return;
+      node.healthy = false;
+      const again = now - node.removedAt < PAUSE_WINDOW_MS;
+      node.pauseMs = again ? Math.min(PAUSE_MOST_MS, node.pauseMs * 2) : PAUSE_MS;
+      node.removedAt = now;
+      return;
+    }
+    const twice = lastTwo.length === 2 && lastTwo.every((p) => p);
+    if (!well || (node.everHealthy && (!twice || now - node.removedAt < node.pauseMs))) return;
+    node.healthy = true;
+    node.everHealthy = true;
+    node.probes = [];
+  }
+
+  /** A healthy node with fewest open connections among those not yet tried; null if there is none. */
+  choose(tried: Set<string>): Balanced | null {
+    const able = this.nodes.filter(
+      (n) => n.healthy && !tried.has(n.address) && n.passedOverUntil <= this.time.now,
+    );
+    const fewest = Math.min(...able.map((n) => n.connections));
+    const among = able.filter((n) => n.connections === fewest);
+    return among[this.random.below(Math.max(1, among.length))] ?? null;
+  }
+
+  /** A connection was not accepted. */
+  failed(node: Balanced): void {
+    if (++node.failures < 3) return;
+    node.failures = 0;
+    node.passedOverUntil = this.time.now + PAUSE_MS;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/network.ts
@@ -0,0 +1,236 @@
+import {
+  type HttpCall,
+  type HttpClient,
+  type HttpResponse,
+  NoAnswer,
+  type Random,
+} from '@onyxkeel/scheduler';
+import {
+  CONNECTION_LIFE_MS,
+  CROSS_ZONE_MS,
+  HELD_MOST,
+  IDLE_CONNECTION_MS,
+  JITTER,
+  LOSS,
+  RESEND_MS,
+  SAME_ZONE_MS,
+} from './constants.ts';
+import type { HostClock, VirtualTime } from './time.ts';
+
+/** What takes part in the network. Hosts without a zone are regional (PROTOCOL, table of components). */
+export interface Host {
+  readonly name: string;
+  readonly zone: string | null;
+  readonly kind: 'node' | 'worker' | 'state' | 'cloud' | 'users';
+  readonly clock: HostClock;
+  /** `dead`: without power, it stays silent. `ended`: its process is gone, connections are refused. */
+  status: 'up' | 'ended' | 'dead';
+}
+
+export interface Request {
+  method: string;
+  path: string;
+  body: string;
+  from: Host;
+}
+export interface Reply {
+  status: number;
+  body: string;
+  retryAfterS?: number;
+}
+/** Serves a request; undefined: no answer will come. */
+export type Server = (request: Request) => Promise<Reply | undefined> | Reply | undefined;
+
+/**
+ * What a cut does (DEPLOY "Network", PROTOCOL "Delayed messages"): `drop` loses packets in silence, `hold` keeps
+ * them and delivers them in order when it ends, `reset` breaks connections, `refuse` only refuses new ones.
+ */
+export type CutMode = 'drop' | 'hold' | 'reset' | 'refuse';
+
+interface Cut {
+  mode: CutMode;
+  between: (a: Host, b: Host) => boolean;
+  since: number;
+  held: (() => void)[];
+}
+
+/** The network between the hosts: delay, loss, connections, cuts. */
+export class Network {
+  private readonly hosts = new Map<string, { host: Host; serve: Server }>();
+  private readonly cuts = new Set<Cut>();
+  /** Open connections by the names of both ends, with the time they were last used. */
+  private readonly open = new Map<string, number>();
+  private readonly lastDelivery = new Map<string, number>();
+  private readonly cutListeners: (() => void)[] = [];
+  /** Calls that reached their host, by its kind. */
+  readonly calls = { node: 0, worker: 0, state: 0, cloud: 0, users: 0 };
+
+  constructor(
+    readonly time: VirtualTime,
+    private readonly random: Random,
+  ) {}
+
+  serve(address: string, host: Host, serve: Server): void {
+    this.hosts.set(address, { host, serve });
+  }
+
+  remove(address: string): void {
+    this.hosts.delete(address);
+  }
+
+  /** The connections of a process that ended, or of a machine that is gone, are gone with it. */
+  forget(host: Host): void {
+    for (const key of this.open.keys()) {
+      const [a, b] = key.split('>');
+      if (a === host.name || b === host.name) this.open.delete(key);
+    }
+  }
+
+  onCutChange(run: () => void): void {
+    this.cutListeners.push(run);
+  }
+
+  /** Begins a cut; the function returned ends it, and delivers what it held, in order. */
+  cut(mode: CutMode, between: (a: Host, b: Host) => boolean): () => void {
+    const cut: Cut = { mode, between, since: this.time.now, held: [] };
+    this.cuts.add(cut);
+    for (const run of this.cutListeners) run();
+    return () => {
+      if (!this.cuts.delete(cut)) return;
+      for (const deliver of cut.held.splice(0)) deliver();
+      for (const run of this.cutListeners) run();
+    };
+  }
+
+  /** The cut between two hosts, if there is any; of several the one that lets least through. */
+  cutBetween(a: Host, b: Host): Cut | null {
+    const order: CutMode[] = ['refuse', 'hold', 'reset', 'drop'];
+    let worst: Cut | null = null;
+    for (const cut of this.cuts) {
+      if (!cut.between(a, b) && !cut.between(b, a)) continue;
+      if (!worst || order.indexOf(cut.mode) > order.indexOf(worst.mode)) worst = cut;
+    }
+    return worst;
+  }
+
+  private delay(a: Host, b: Host): number {
+    const base = a.zone !== null && a.zone === b.zone ? SAME_ZONE_MS : CROSS_ZONE_MS;
+    const unit = this.random.below(1 << 20) / (1 << 20);
+    const lost = this.random.below(1 << 20) / (1 << 20) < LOSS ? RESEND_MS : 0;
+    return base * (1 + JITTER * (2 * unit - 1)) + lost;
+  }
+
+  /** Sends on an open connection: `arrive` is carried out in order with what was sent before, or never. */
+  private send(a: Host, b: Host, channel: string, arrive: () => void): void {
+    const cut = this.cutBetween(a, b);
+    if (cut?.mode === 'drop' || cut?.mode === 'reset') return;
+    if (cut?.mode === 'hold') {
+      cut.held.push(() => this.send(a, b, channel, arrive));
+      if (cut.held.length > HELD_MOST) cut.held.shift();
+      return;
+    }
+    const at = Math.max(this.time.now + this.delay(a, b), this.lastDelivery.get(channel) ?? 0);
+    if (channel !== '') this.lastDelivery.set(channel, at);
+    this.time.at(at, () => {
+      if (b.status === 'up') b.clock.whenAwake(arrive);
+    });
+  }
+
+  /** An HTTP client of the host. The deadline is of its own clock; without an answer the outcome is unknown. */
+  client(from: Host): HttpClient {
+    return async (call): Promise<HttpResponse> => {
+      const { status, body } = await this.exchange(from, call);
+      return { status, text: body };
+    };
+  }
+
+  /** One call with all of its answer. Throws `NoAnswer` where none comes in time. */
+  exchange(from: Host, call: HttpCall): Promise<Reply> {
+    return new Promise((resolve, reject) => {
+      if (from.status !== 'up') return; // nobody is there to wait for it
+      const target = this.hosts.get(call.address);
+      let settled = false;
+      const settle = (then: () => void): void => {
+        if (settled) return;
+        settled = true;
+        timer.cancel();
+        call.signal?.removeEventListener('abort', onAbort);
+        then();
+      };
+      const fail = (why: string): void =>
+        settle(() => {
+          // What gives a call up closes its connection: the next call needs another, which a cut does not let through.
+          if (target) this.open.delete(`${from.name}>${target.host.name}`);
+          reject(new NoAnswer(`${call.method} ${call.path}: ${why}`));
+        });
+      const onAbort = (): void => fail('cancelled');
+      const timer = from.clock.after(call.deadlineMs, () => fail('no answer in time'));
+      if (call.signal?.aborted) return fail('cancelled');
+      call.signal?.addEventListener('abort', onAbort);
+      if (!target) return; // no such host: silence
+      const { host, serve } = target;
+      const soon = (why: string): void => {
+        this.time.after(this.delay(from, host), () => from.clock.whenAwake(() => fail(why)));
+      };
+      const cut = this.cutBetween(from, host);
+      if (cut?.mode === 'reset') {
+        this.open.delete(`${from.name}>${host.name}`);
+        return soon('connection reset');
+      }
+      const key = `${from.name}>${host.name}`;
+      const connected = (this.open.get(key) ?? -Infinity) > this.time.now - IDLE_CONNECTION_MS;
+      if (!connected) {
+        if (cut?.mode === 'refuse') return soon('connection refused');
+        if (cut) return; // the attempt hangs, and once given up it is not completed
+        if (host.status === 'ended') return soon('connection refused');
+      }
+      if (host.status === 'dead') return;
+      if (host.status === 'ended') return soon('connection reset');
+      this.open.set(key, this.time.now);
+      const answer = (reply: Reply | undefined): void => {
+        if (!reply || host.status !== 'up') return;
+        this.send(host, from, '', () => settle(() => resolve(reply)));
+      };
+      const deliver = (): void => {
+        this.calls[host.kind]++;
+        const request = { method: call.method, path: call.path, body: call.body ?? '', from };
+        const reply = serve(request);
+        if (reply instanceof Promise) void reply.then((late) => host.clock.whenAwake(() => answer(late)));
+        else answer(reply);
+      };
+      // A new connection costs a round trip first.
+      if (connected) this.send(from, host, '', deliver);
+      else {
+        const setUp = this.delay(from, host) + this.delay(host, from);
+        this.time.after(setUp, () => {
+          if (!settled || this.cutBetween(from, host) === null) this.send(from, host, '', deliver);
+        });
+      }
+    });
+  }
+
+  /** What a new connection to the address meets now. */
+  accepts(from: Host, address: string): 'accepted' | 'refused' | 'silent' {
+    const host = this.hosts.get(address)?.host;
+    const cut = host ? this.cutBetween(from, host) : null;
+    if (cut?.mode === 'refuse' || cut?.mode === 'reset' || host?.status === 'ended') return 'refused';
+    if (!host || cut || host.status === 'dead' || host.clock.frozenUntil > this.time.now) return 'silent';
+    return 'accepted';
+  }
+
+  /** Whether a connection between two controllers stands: a cut that lasts too long, or breaks them, ends it. */
+  meshOpen(a: Host, b: Host): boolean {
+    if (a.status !== 'up' || b.status !== 'up') return false;
+    const cut = this.cutBetween(a, b);
+    if (!cut) return true;
+    if (cut.mode === 'reset' || cut.mode === 'refuse') return false;
+    return this.time.now - cut.since < CONNECTION_LIFE_MS;
+  }
+
+  /** Sends a message between controllers, in order; false if they are not connected. */
+  mesh(a: Host, b: Host, arrive: () => void): boolean {
+    if (!this.meshOpen(a, b)) return false;
+    this.send(a, b, `${a.name}>${b.name}`, arrive);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/play.ts
@@ -0,0 +1,192 @@
+import { type JobSpec, type Log, seededRandom } from '@onyxkeel/scheduler';
+import { Cluster, type Deployment } from './cluster.ts';
+import type { Day, JobDraw } from './day.ts';
+import { Faults } from './faults.ts';
+import type { Violation } from './judge.ts';
+import { newWork } from './workload.ts';
+
+/** Virtual seconds before the first job, while the controllers come up. */
+const WARM_UP_S = 12;
+/** Virtual seconds that the accepted jobs have to end once all faults are over and the last job has come. */
+const QUIET_S = 420;
+/** Calls above a limit that are let pass: processes that start have full buckets each, and may start together. */
+const OVER_LIMIT_SHARE = 0.03;
+const OVER_LIMIT_FEW = 60;
+
+export interface Outcome {
+  violations: Violation[];
+  /** Of the whole history, hexadecimal. */
+  digest: string;
+  virtualS: number;
+  events: number;
+  started: number;
+  completed: number;
+  /** Starts of tasks that had been started before. */
+  repeated: number;
+  sessionsLost: number;
+  submissions: { submitted: number; accepted: number; quick: number; refused: number; gaveUp: number };
+  /** Milliseconds from submission to being told done, by class. */
+  tookMs: Map<string, number[]>;
+  calls: Record<string, number>;
+  rented: number;
+  returned: number;
+}
+
+const zoneNames = ['a', 'b', 'c'];
+const teamNames = ['red', 'green', 'blue'];
+
+/** The deployment that a day asks for: two types of machines, capacity in proportion to what is up at the start. */
+export function deploymentOf(day: Day): Deployment {
+  const zones = zoneNames.slice(0, day.zones);
+  const most = day.machines * day.capacity + 2;
+  const types = [
+    { name: 'small', cores: 8, ramGb: 32, localGb: 20, pullGbPerS: 1, price: 0.4, spotPrice: 0.1, bootS: 12 },
+    {
+      name: 'large',
+      cores: 16,
+      ramGb: 128,
+      localGb: 40,
+      pullGbPerS: 1,
+      price: 0.8,
+      spotPrice: 0.2,
+      bootS: 10,
+    },
+  ];
+  const [reportS, leaseS, cancelS] = day.pace === 0 ? [2.5, 16, 36] : [5, 31, 61];
+  return {
+    zones,
+    nodes: Array.from({ length: day.nodes }, (_, i) => zones[i % zones.length] ?? 'a'),
+    types,
+    capacity: zones.flatMap((zone) => types.map((t) => ({ type: t.name, zone, ordinary: most, spot: most }))),
+    initial: zones.flatMap((zone) => [
+      { type: 'small', zone, spot: false, count: Math.ceil(day.machines / 2) },
+      { type: 'large', zone, spot: true, count: Math.floor(day.machines / 2) },
+    ]),
+    teams: teamNames.map((name, i) => ({ name, cores: 8, maxCores: day.teamLimits[i] ?? 0 })),
+    objectives: [
+      { class: 'short', withinS: 60 },
+      { class: 'long', withinS: 120 },
+    ],
+    reportS,
+    leaseS,
+    cancelS,
+    state:
+      day.pace === 0
+        ? { rps: 250, writeRps: 90, valueKb: 32, txnOps: 12 }
+        : { rps: 250, writeRps: 50, valueKb: 8, txnOps: 40 },
+    cloud: { rps: 8, listLagS: day.pace === 0 ? 5 : 8 },
+    clockOffMs: 100,
+  };
+}
+
+function specOf(draw: JobDraw, n: number, d: Deployment): JobSpec {
+  const team = teamNames[draw.team % teamNames.length] ?? 'red';
+  const limit = d.teams.find((t) => t.name === team)?.maxCores ?? 0;
+  return {
+    id: `j-${String(n)}`,
+    class: draw.runS > 12 ? 'long' : 'short',
+    team,
+    kind: draw.service ? 'service' : 'batch',
+    priority: draw.priority,
+    // All replicas of a service run at once, so they must fit their team's limit.
+    tasks: draw.service
+      ? Math.min(draw.tasks, 2, limit > 0 ? Math.floor(limit / draw.cores) : 2)
+      : draw.tasks,
+    cores: draw.cores,
+    accelerators: 0,
+    ramGb: draw.cores * 2,
+    image: `img-${String(n % 5)}`,
+    imageGb: 0.5 + (n % 3),
+    types: draw.rule === 'a type' ? ['large'] : null,
+    zone: draw.rule === 'a zone' ? (d.zones[n % d.zones.length] ?? null) : null,
+    oneZone: draw.rule === 'one zone',
+    // With fewer than two zones half of the tasks could never run.
+    spread: draw.rule === 'spread' && d.zones.length > 1,
+    spot: draw.spot,
+    estimateS: draw.service ? 0 : draw.runS,
+    checkpointS: draw.checkpoint ? 3 : 0,
+    saveS: draw.checkpoint ? 1 : 0,
+    deadlineS: draw.priority < 2 ? draw.runS * 3 + 20 : null,
+  };
+}
+
+/** Plays a day to its end: until every accepted job is over, or the quiet time after the last fault is. */
+export async function playDay(
+  day: Day,
+  options: { log?: (node: string) => Log; stopAtFirst?: boolean } = {},
+): Promise<Outcome> {
+  const deployment = deploymentOf(day);
+  const cluster = new Cluster(deployment, { seed: day.seed, ...(options.log ? { log: options.log } : {}) });
+  const { time, judge, users, workload, state, cloud } = cluster;
+  const random = seededRandom(day.seed ^ 0x5eed);
+  for (let n = 0; n < deployment.nodes.length; n++) time.at(random.below(2500), () => cluster.start(n));
+  const faults = new Faults(cluster, random);
+  for (const fault of day.faults) faults.plan(fault, WARM_UP_S * 1000);
+  const endless: string[] = [];
+  let lastS = WARM_UP_S;
+  day.jobs.forEach((draw, n) => {
+    const spec = specOf(draw, n, deployment);
+    const seed = random.below(1 << 30);
+    const runS = (index: number): number =>
+      draw.runS * (0.5 + (seededRandom(seed + index).below(1000) + 1) / 1000);
+    const work = newWork(spec, runS, draw.broken);
+    workload.set(spec.id, work);
+    const atS = WARM_UP_S + draw.atS;
+    // Neither a job with a mistake nor a service ever ends by itself.
+    const never = draw.broken || draw.service;
+    const cancelAtS = draw.cancelAfterS !== null || never ? atS + (draw.cancelAfterS ?? 40) : null;
+    const againAtS = draw.againAfterS === null ? null : atS + draw.againAfterS;
+    users.begin(work, { atS, cancelAtS, againAtS });
+    if (never) endless.push(spec.id);
+    lastS = Math.max(lastS, atS + 1);
+  });
+  for (const fault of day.faults) lastS = Math.max(lastS, WARM_UP_S + Faults.overS(fault, day.nodes));
+  time.at(20_000, () => void users.askUnknown(`j-${String(9_000_000 + (day.seed % 1000))}`));
+  const step = 1000;
+  const done = (): boolean => options.stopAtFirst === true && judge.violations.length > 0;
+  while (time.now < lastS * 1000 && !done()) await time.runUntil(time.now + step);
+  faults.clear();
+  const endAt = time.now + QUIET_S * 1000;
+  while (time.now < endAt && users.open > 0 && !done()) {
+    // Some were accepted only when their user had given up waiting to cancel them.
+    for (const id of endless) if (time.now % 10_000 < step) void users.cancelIfAccepted(id);
+    await time.runUntil(time.now + step);
+  }
+  if (!done()) {
+    // Whatever is told cancelled must also be gone.
+    await time.runUntil(time.now + deployment.cancelS * 1000 + step);
+    let uncancelled = 0;
+    for (const { spec } of workload.values()) {
+      if (!judge.isAccepted(spec.id)) continue;
+      if (judge.finalState(spec.id) !== 'cancelled') uncancelled++;
+      if (judge.finalState(spec.id) !== null) continue;
+      judge.break('stuck', `${spec.id}: accepted, and not over ${String(QUIET_S)} s after the last fault`);
+    }
+    if (judge.started === 0 && uncancelled > 0) judge.break('nothing_ran', 'no task was started');
+    overLimit('state service', state.counts.refused, state.counts.requests);
+    overLimit('cloud', cloud.counts.refused, cluster.network.calls.cloud);
+  }
+  function overLimit(what: string, refused: number, calls: number): void {
+    if (refused > OVER_LIMIT_FEW && refused > calls * OVER_LIMIT_SHARE)
+      judge.break('over_limit', `${what} refused ${String(refused)} of ${String(calls)} calls`);
+  }
+  return {
+    violations: judge.violations,
+    digest: judge.digestHex,
+    virtualS: time.now / 1000,
+    events: time.events,
+    started: judge.started,
+    completed: judge.completed,
+    repeated: judge.repeated,
+    sessionsLost: cluster.sessionsLost,
+    submissions: users.counts,
+    tookMs: users.tookMs,
+    calls: {
+      ...cluster.network.calls,
+      refusedByState: state.counts.refused,
+      refusedByCloud: cloud.counts.refused,
+    },
+    rented: cloud.counts.rented,
+    returned: cloud.counts.returned,
+  };
+}
--- /dev/null
+++ b/packages/emulator/src/protocol/wire.ts
@@ -0,0 +1,263 @@
+/**
+ * The outside systems' side of the wire, by PROTOCOL: what they read of requests and how they word their answers.
+ * Wire names stay here; the models use the field's terms.
+ */
+import type { JobSpec } from '@onyxkeel/scheduler';
+
+// --- state service ---
+
+export type WireWrite = { put?: string; v?: unknown; concessione?: number; remove?: string };
+export interface Txn {
+  conditions: { key: string; version: number }[];
+  writes: ({ op: 'put'; key: string; text: string; lease: number | null } | { op: 'remove'; key: string })[];
+}
+
+/** The transaction asked for, or null where it is malformed. */
+export function readTxn(body: string): Txn | null {
+  try {
+    const raw = JSON.parse(body) as { when?: { key: string; edizione: number }[]; writes?: WireWrite[] };
+    return {
+      conditions: (raw.when ?? []).map((c) => ({ key: c.key, version: c.edizione })),
+      writes: (raw.writes ?? []).map((w) => {
+        if (w.remove !== undefined) return { op: 'remove', key: w.remove };
+        if (w.put === undefined) throw new SyntaxError('neither put nor remove');
+        return { op: 'put', key: w.put, text: JSON.stringify(w.v), lease: w.concessione ?? null };
+      }),
+    };
+  } catch {
+    return null;
+  }
+}
+
+export function readLife(body: string): number | null {
+  try {
+    const life = (JSON.parse(body) as { life_ms?: unknown }).life_ms;
+    return typeof life === 'number' && life >= 100 && life <= 600_000 ? life : null;
+  } catch {
+    return null;
+  }
+}
+
+export const stateWords = {
+  revision: (revision: number): string => `{"protocollo":${String(revision)}}`,
+  conflict: (failed: string[], revision: number): string =>
+    `{"failed":${JSON.stringify(failed)},"protocollo":${String(revision)}}`,
+  entry: (key: string, text: string, version: number, lease: number | null): string =>
+    `{"key":${JSON.stringify(key)},"v":${text},"edizione":${String(version)}` +
+    (lease === null ? '}' : `,"concessione":${String(lease)}}`),
+  page: (items: string[], truncated: boolean, revision: number): string =>
+    `{"items":[${items.join(',')}],"truncated":${String(truncated)},"protocollo":${String(revision)}}`,
+  put: (key: string, text: string, version: number): string =>
+    `{"put":${JSON.stringify(key)},"v":${text},"edizione":${String(version)}}`,
+  removed: (key: string, version: number): string =>
+    `{"remove":${JSON.stringify(key)},"edizione":${String(version)}}`,
+  changes: (events: string[], revision: number): string =>
+    `{"protocollo":${String(revision)},"events":[${events.join(',')}]}`,
+  lease: (id: number): string => `{"concessione":${String(id)}}`,
+};
+
+// --- cloud ---
+
+export interface RentRequest {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export function readRent(body: string): RentRequest | null {
+  try {
+    const raw = JSON.parse(body) as Record<string, unknown>;
+    const { richiesta, modello, sede, number } = raw;
+    if (typeof richiesta !== 'string' || typeof modello !== 'string' || typeof sede !== 'string') return null;
+    if (typeof number !== 'number' || !Number.isInteger(number) || number < 1) return null;
+    return { name: richiesta, type: modello, zone: sede, spot: raw['prestiti'] === true, count: number };
+  } catch {
+    return null;
+  }
+}
+
+export function readReturn(body: string): string[] | null {
+  try {
+    const names = (JSON.parse(body) as { banchi?: unknown }).banchi;
+    return Array.isArray(names) && names.every((n): n is string => typeof n === 'string') ? names : null;
+  } catch {
+    return null;
+  }
+}
+
+export interface MachineTypeSpec {
+  name: string;
+  cores: number;
+  ramGb: number;
+  localGb: number;
+  pullGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+}
+
+export interface ListedHost {
+  id: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'starting' | 'running' | 'failed';
+  ageS: number;
+}
+
+export const cloudWords = {
+  catalog: (types: MachineTypeSpec[], zones: string[]): string =>
+    JSON.stringify({
+      modelli: types.map((t) => ({
+        name: t.name,
+        cores: t.cores,
+        accelerators: 0,
+        ram_gb: t.ramGb,
+        local_gb: t.localGb,
+        pull_gb_per_s: t.pullGbPerS,
+        rate: t.price,
+        low_price: t.spotPrice,
+        ready_s: t.bootS,
+        sedi: zones,
+      })),
+    }),
+  rented: (names: string[]): string => JSON.stringify({ banchi: names }),
+  list: (hosts: ListedHost[], truncated: boolean): string =>
+    JSON.stringify({
+      banchi: hosts.map((h) => ({
+        id: h.id,
+        endpoint: h.endpoint,
+        modello: h.type,
+        sede: h.zone,
+        prestiti: h.spot,
+        stato: h.state,
+        age_s: h.ageS,
+      })),
+      truncated,
+    }),
+};
+
+// --- workers ---
+
+export type Order =
+  | { op: 'launch'; task: string; attempt: number }
+  | { op: 'halt'; task: string; attempt: number; graceS: number }
+  | { op: 'forget'; task: string; attempt: number };
+
+type WireOrder = { ordine: string; pratica: string; tentativo: number; tolleranza_s?: number };
+
+/** Token, session and orders; null where token, or in a direct command the session, is missing. */
+export function readOrders(
+  text: string,
+  direct: boolean,
+): { token: number; session: number; orders: Order[] } | null {
+  try {
+    const raw = JSON.parse(text) as { mandato?: unknown; turno?: unknown; ordini?: WireOrder[] };
+    if (typeof raw.mandato !== 'number' || (direct && typeof raw.turno !== 'number')) return null;
+    const orders = (raw.ordini ?? []).flatMap((o): Order[] => {
+      const named = { task: o.pratica, attempt: o.tentativo };
+      if (o.ordine === 'launch' || o.ordine === 'forget') return [{ op: o.ordine, ...named }];
+      return o.ordine === 'halt' ? [{ op: 'halt', ...named, graceS: o.tolleranza_s ?? 0 }] : [];
+    });
+    return { token: raw.mandato, session: typeof raw.turno === 'number' ? raw.turno : 0, orders };
+  } catch {
+    return null;
+  }
+}
+
+/** The node that a 421 names, or null. */
+export function readRedirect(text: string): string | null {
+  try {
+    const to = (JSON.parse(text) as { riferisce_a?: unknown }).riferisce_a;
+    return typeof to === 'string' ? to : null;
+  } catch {
+    return null;
+  }
+}
+
+export type Causal = 'done' | 'stopped' | 'error' | 'full' | 'busy' | 'no_such';
+export interface WorkerTask {
+  task: string;
+  attempt: number;
+  state: 'fetching' | 'running' | 'flushing' | 'ended';
+  reason: Causal | null;
+  saved: boolean;
+}
+export interface WorkerView {
+  id: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: Iterable<WorkerTask>;
+}
+
+export function reportWords(w: WorkerView): string {
+  return JSON.stringify({
+    banco: w.id,
+    endpoint: w.endpoint,
+    modello: w.type,
+    sede: w.zone,
+    prestiti: w.spot,
+    turno: w.session,
+    progressivo: w.seq,
+    mandato: w.token,
+    preavviso_s: w.noticeS,
+    pratiche: Array.from(w.tasks, (t) => ({
+      pratica: t.task,
+      tentativo: t.attempt,
+      stato: t.state,
+      ...(t.reason === null ? {} : { causale: t.reason }),
+      ...(t.saved ? { saved: true } : {}),
+    })),
+  });
+}
+
+// --- users ---
+
+const priorities = ['critical', 'urgent', 'standard', 'low'];
+
+export function submissionWords(spec: JobSpec): string {
+  return JSON.stringify({
+    id: spec.id,
+    lot: spec.class,
+    ufficio: spec.team,
+    genere: spec.kind === 'service' ? 'standing' : spec.kind,
+    urgenza: priorities[spec.priority],
+    pratiche: spec.tasks,
+    cores: spec.cores,
+    accelerators: spec.accelerators,
+    ram_gb: spec.ramGb,
+    stampo: spec.image,
+    size_gb: spec.imageGb,
+    modelli: spec.types,
+    sede: spec.zone,
+    same_place: spec.oneZone,
+    apart: spec.spread,
+    prestiti: spec.spot,
+    stima_s: spec.estimateS,
+    salvataggio_s: spec.checkpointS,
+    scrittura_s: spec.saveS,
+    scadenza_s: spec.deadlineS,
+  });
+}
+
+export type ToldState = 'queued' | 'running' | 'done' | 'cancelled';
+
+/** What a 200 or 201 tells of a job; null where it tells nothing that can be read. */
+export function readTold(text: string): ToldState | null {
+  try {
+    const state = (JSON.parse(text) as { stato?: unknown }).stato;
+    if (state === 'aborted') return 'cancelled';
+    return state === 'queued' || state === 'running' || state === 'done' ? state : null;
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/users.ts
@@ -0,0 +1,185 @@
+import { type HttpCall, NoAnswer, type Random } from '@onyxkeel/scheduler';
+import {
+  CONNECT_DEADLINE_MS,
+  POLL_DEADLINE_MS,
+  POLL_MS,
+  RETRY_AFTER_MOST_MS,
+  RETRY_MS,
+  RETRY_TOTAL_MS,
+  SUBMIT_DEADLINE_MS,
+} from './constants.ts';
+import type { Judge, Question } from './judge.ts';
+import type { LoadBalancer } from './load-balancer.ts';
+import type { Host, Network, Reply } from './network.ts';
+import { readTold, submissionWords } from './protocol/wire.ts';
+import type { VirtualTime } from './time.ts';
+import type { Work, Workload } from './workload.ts';
+
+/** What a user does with a job, in virtual seconds from the day's begin. */
+export interface JobPlan {
+  atS: number;
+  /** When the user asks to cancel it, or null. */
+  cancelAtS: number | null;
+  /** When the user submits it once more, whatever became of it, or null. */
+  againAtS: number | null;
+}
+
+export interface UserCounts {
+  submitted: number;
+  accepted: number;
+  /** Answers to first submissions within half a second. */
+  quick: number;
+  refused: number;
+  gaveUp: number;
+}
+
+/** The users, by PROTOCOL "Users -> controller nodes". One routine for each job. */
+export class Users {
+  readonly counts: UserCounts = { submitted: 0, accepted: 0, quick: 0, refused: 0, gaveUp: 0 };
+  /** Milliseconds from a job's submission to its user's being told that it is done, by class. */
+  readonly tookMs = new Map<string, number[]>();
+  private readonly followed = new Set<string>();
+  private readonly cancelling = new Set<string>();
+  /** Routines that still go on. */
+  open = 0;
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly random: Random,
+    private readonly network: Network,
+    private readonly host: Host,
+    private readonly balancer: LoadBalancer,
+    private readonly judge: Judge,
+    private readonly workload: Workload,
+  ) {}
+
+  /** Carries out a user's plan with a job. */
+  begin(work: Work, plan: JobPlan): void {
+    this.open++;
+    this.time.at(plan.atS * 1000, () => void this.live(work).finally(() => this.open--));
+    const { id } = work.spec;
+    const { cancelAtS, againAtS } = plan;
+    if (cancelAtS !== null) this.time.at(cancelAtS * 1000, () => void this.cancelIfAccepted(id));
+    if (againAtS === null) return;
+    this.open++;
+    this.time.at(againAtS * 1000, () => void this.again(work).finally(() => this.open--));
+  }
+
+  /** Somebody asks about a job that nobody has submitted. */
+  askUnknown(id: string): Promise<number> {
+    return this.ask(id, 'poll', null);
+  }
+
+  private async live(work: Work): Promise<void> {
+    const beganAt = this.time.now;
+    this.counts.submitted++;
+    work.submitted = true;
+    for (;;) {
+      const status = await this.ask(work.spec.id, 'submit', work);
+      if (status === 200 || status === 201) break;
+      if (status === 400 || status === 422) return void this.counts.refused++;
+      if (this.time.now - beganAt > RETRY_TOTAL_MS) return void this.counts.gaveUp++;
+      await this.time.sleep(this.retryMs);
+    }
+    this.counts.accepted++;
+    if (this.time.now - beganAt <= 500) this.counts.quick++;
+    await this.follow(work, beganAt);
+  }
+
+  /** Submits once more. Where nobody was told of the job's acceptance before, it is polled from now on. */
+  private async again(work: Work): Promise<void> {
+    const beganAt = this.time.now;
+    work.submitted = true;
+    const status = await this.ask(work.spec.id, 'submit', work);
+    if (status === 200 || status === 201) await this.follow(work, beganAt);
+  }
+
+  /** Polls until the job is over. */
+  private async follow(work: Work, beganAt: number): Promise<void> {
+    const { id } = work.spec;
+    if (this.followed.has(id)) return;
+    this.followed.add(id);
+    let told = false;
+    for (;;) {
+      await this.time.sleep(POLL_MS * (0.8 + this.random.below(400) / 1000));
+      await this.ask(id, 'poll', work);
+      const final = this.judge.finalState(id);
+      if (final === 'done' && !told) {
+        told = true;
+        const took = this.tookMs.get(work.spec.class) ?? [];
+        took.push(this.time.now - beganAt);
+        this.tookMs.set(work.spec.class, took);
+      }
+      if (final !== null) return this.comeBack(work);
+    }
+  }
+
+  /** Some ask again when they know the end, at once or later, and by whatever node: the answer must be the same. */
+  private async comeBack(work: Work): Promise<void> {
+    for (let times = this.random.below(4); times > 0; times--) {
+      await this.time.sleep(this.random.below(this.random.below(2) === 0 ? 700 : 20_000));
+      await this.ask(work.spec.id, 'poll', work);
+    }
+  }
+
+  /** Repeats the wish to cancel until it is answered; of a job that its user knows to be accepted. */
+  async cancelIfAccepted(id: string): Promise<void> {
+    if (!this.judge.isAccepted(id) || this.judge.finalState(id) !== null || this.cancelling.has(id)) return;
+    this.open++;
+    this.cancelling.add(id);
+    this.judge.onCancelAsked(id);
+    for (;;) {
+      const status = await this.ask(id, 'withdraw', null);
+      if (status === 200 || status === 404) break;
+      await this.time.sleep(this.retryMs);
+    }
+    const work = this.workload.get(id);
+    if (work) await this.comeBack(work);
+    this.open--;
+  }
+
+  private retryMs = RETRY_MS;
+
+  /** Puts one question through the load balancer and tells the judge of the answer. Status 0: none came. */
+  private async ask(id: string, question: Question, work: Work | null): Promise<number> {
+    const askedAt = this.time.now;
+    const path =
+      question === 'submit' ? '/v1/jobs' : `/v1/jobs/${id}${question === 'poll' ? '' : '/withdraw'}`;
+    const reply = await this.exchange({
+      method: question === 'poll' ? 'GET' : 'POST',
+      path,
+      ...(question === 'submit' && work ? { body: submissionWords(work.spec) } : {}),
+      deadlineMs: question === 'poll' ? POLL_DEADLINE_MS : SUBMIT_DEADLINE_MS,
+    });
+    const status = reply?.status ?? 0;
+    this.retryMs = Math.max(RETRY_MS, Math.min(RETRY_AFTER_MOST_MS, (reply?.retryAfterS ?? 0) * 1000));
+    this.judge.onAnswer(id, question, askedAt, status, reply ? readTold(reply.body) : null);
+    return status;
+  }
+
+  /** The load balancer tries three nodes at the most; an accepted connection is not moved. */
+  private async exchange(call: Omit<HttpCall, 'address'>): Promise<Reply | null> {
+    const tried = new Set<string>();
+    for (let tries = 0; tries < 3; tries++) {
+      const node = this.balancer.choose(tried);
+      if (node === null) break;
+      tried.add(node.address);
+      const taken = this.network.accepts(this.host, node.address);
+      if (taken !== 'accepted') {
+        this.balancer.failed(node);
+        if (taken === 'silent') await this.time.sleep(CONNECT_DEADLINE_MS);
+        continue;
+      }
+      node.connections++;
+      try {
+        return await this.network.exchange(this.host, { ...call, address: node.address });
+      } catch (error) {
+        if (!(error instanceof NoAnswer)) throw error;
+        return null;
+      } finally {
+        node.connections--;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/emulator/test/explorer.test.ts
@@ -0,0 +1,175 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { readDay } from '../src/day-file.ts';
+import { type Day } from '../src/day.ts';
+import { daySeed, explore, runDigest } from '../src/explorer.ts';
+import { Judge } from '../src/judge.ts';
+import { playDay } from '../src/play.ts';
+import { VirtualTime } from '../src/time.ts';
+import type { Worker } from '../src/worker.ts';
+import { newWork, type Workload } from '../src/workload.ts';
+import { mutants, mutatedExplorer } from './mutants.ts';
+
+/** Days of the explorer's small size that the check plays; the long run is in docs/emulator.md. */
+const DAYS = 12;
+/** Days within which each mutant must be caught: about three times what the slowest took when this was written. */
+const MUTANT_DAYS = 150;
+
+describe('judge', () => {
+  const at = (id: string, zone = 'a', spot = false): Worker =>
+    ({ id, machine: { type: { name: 's' }, zone, spot } }) as Worker;
+
+  /** The rules broken by a history, in order. */
+  async function broken(
+    tell: (judge: Judge, time: VirtualTime) => void,
+    spec: object = {},
+  ): Promise<string[]> {
+    const time = new VirtualTime();
+    const plain = { id: 'j-1', team: 'red', kind: 'batch', tasks: 3, cores: 4, types: null, zone: null };
+    const work = newWork({ ...plain, ...spec } as unknown as Parameters<typeof newWork>[0], () => 1, false);
+    work.submitted = true;
+    const workload: Workload = new Map([['j-1', work]]);
+    const judge = new Judge(time, workload, { teamCores: new Map([['red', 8]]), cancelMs: 1000 });
+    tell(judge, time);
+    await time.runUntil(5000);
+    return judge.violations.map((v) => v.rule);
+  }
+  const started = (judge: Judge, task: number, worker: Worker, spec: object = {}): void => {
+    const plain = {
+      id: 'j-1',
+      team: 'red',
+      kind: 'batch',
+      tasks: 3,
+      cores: 4,
+      types: null,
+      zone: null,
+      spot: false,
+    };
+    const work = newWork({ ...plain, ...spec } as unknown as Parameters<typeof newWork>[0], () => 1, false);
+    judge.onStart(worker, `j-1/${String(task)}`, 1, work);
+  };
+  const told = (
+    judge: Judge,
+    status: number,
+    state: 'queued' | 'done' | 'cancelled' | null,
+    askedAt = 0,
+  ): void => judge.onAnswer('j-1', 'poll', askedAt, status, state);
+
+  it('finds each rule broken, and nothing in a history that keeps them', async () => {
+    assert.deepEqual(await broken((j) => [1, 2].forEach((t) => started(j, t, at('m')))), []);
+    assert.deepEqual(await broken((j) => ['m', 'n'].forEach((m) => started(j, 1, at(m)))), ['ran_twice']);
+    assert.deepEqual(await broken((j) => [1, 2, 3].forEach((t) => started(j, t, at('m')))), ['quota']);
+    assert.deepEqual(await broken((j) => started(j, 1, at('m', 'a', true))), ['wrong_place']);
+    assert.deepEqual(await broken((j) => started(j, 1, at('m'), { zone: 'b' })), ['wrong_place']);
+    assert.deepEqual(await broken((j) => started(j, 1, at('m'), { types: ['t'] })), ['wrong_place']);
+    const apart = (j: Judge): void => {
+      started(j, 1, at('m'), { oneZone: true });
+      started(j, 2, at('n', 'b'), { oneZone: true });
+    };
+    assert.deepEqual(await broken(apart), ['wrong_place']);
+    assert.deepEqual(await broken((j) => told(j, 200, 'done')), ['not_done']);
+    assert.deepEqual(await broken((j) => told(j, 200, 'cancelled')), ['went_back']);
+    const late = (j: Judge): void => {
+      j.onCancelAsked('j-1');
+      told(j, 200, 'cancelled');
+      started(j, 1, at('m'));
+    };
+    assert.deepEqual(await broken(late), ['ran_cancelled']);
+    const back = (j: Judge, time: VirtualTime): void => {
+      j.onCancelAsked('j-1');
+      told(j, 200, 'cancelled');
+      time.at(10, () => told(j, 200, 'queued', 5));
+    };
+    assert.deepEqual(await broken(back), ['went_back']);
+    const lost = (j: Judge, time: VirtualTime): void => {
+      told(j, 201, 'queued');
+      time.at(10, () => told(j, 404, null, 5));
+    };
+    assert.deepEqual(await broken(lost), ['forgotten']);
+    assert.deepEqual(await broken((j) => j.onAnswer('j-2', 'poll', 0, 200, 'queued')), ['invented']);
+  });
+
+  it('takes an answer for an older one only if it was asked for after the newer was in', async () => {
+    const crossed = (j: Judge, time: VirtualTime): void => {
+      j.onCancelAsked('j-1');
+      time.at(10, () => told(j, 200, 'cancelled', 0));
+      time.at(11, () => told(j, 200, 'queued', 9));
+    };
+    assert.deepEqual(await broken(crossed), []);
+  });
+});
+
+describe('explorer', () => {
+  it(
+    'plays days with every kind of fault without a broken rule, and twice alike',
+    { timeout: 60_000 },
+    async () => {
+      const digests: string[][] = [[], []];
+      for (const run of digests) {
+        for (let number = 0; number < DAYS; number++) {
+          const { day, outcome } = await explore('small', daySeed(1, number));
+          assert.deepEqual(outcome.violations, [], `npm run explore -- --day '${JSON.stringify(day)}'`);
+          run.push(outcome.digest);
+        }
+      }
+      assert.equal(runDigest(digests[0] ?? []), runDigest(digests[1] ?? []));
+      assert.equal(new Set(digests[0]).size, DAYS, 'no two days alike');
+    },
+  );
+
+  it('plays a day again from its text, and names the field that is bad', async () => {
+    const { day, outcome } = await explore('small', daySeed(1, 0));
+    const again = await playDay(readDay(JSON.stringify(day)), { stopAtFirst: true });
+    assert.equal(again.digest, outcome.digest);
+    assert.throws(() => readDay('{'), /^Error: not JSON$/);
+    assert.throws(() => readDay(JSON.stringify({ ...day, nodes: 0 })), /^Error: nodes: /);
+    const bad = { ...day, faults: [{ atS: 1, forS: 1, kind: 'cut', node: 0, from: 'moon', mode: 'drop' }] };
+    assert.throws(() => readDay(JSON.stringify(bad)), /^Error: faults\.0\.from: /);
+  });
+
+  it('has found that a job allowed on one type waited for ever where others had CPUs enough', async () => {
+    const job = {
+      atS: 0,
+      team: 0,
+      tasks: 1,
+      cores: 1,
+      runS: 2,
+      priority: 0,
+      rule: 'a type' as const,
+      spot: false,
+      checkpoint: false,
+      service: false,
+      broken: false,
+      cancelAfterS: null,
+      againAfterS: null,
+    };
+    const day: Day = {
+      seed: 0,
+      zones: 1,
+      nodes: 1,
+      machines: 1,
+      capacity: 1,
+      pace: 0,
+      teamLimits: [0, 0, 0],
+      jobs: [job],
+      faults: [],
+    };
+    const { violations, completed } = await playDay(day);
+    assert.deepEqual([violations, completed], [[], 1]);
+  });
+
+  for (const mutant of mutants) {
+    it(`catches: ${mutant.name}`, { timeout: 300_000 }, async (t) => {
+      const mutated = await mutatedExplorer(mutant);
+      for (let number = 0; number < MUTANT_DAYS; number++) {
+        const { outcome } = await mutated.explore(mutant.size, daySeed(1, number));
+        // A broken rule, and not only work that goes on too slowly.
+        const first = outcome.violations.find((v) => v.rule !== 'stuck');
+        if (!first) continue;
+        t.diagnostic(`${first.rule} after ${String(number + 1)} days`);
+        return;
+      }
+      assert.fail(`not caught in ${String(MUTANT_DAYS)} days`);
+    });
+  }
+});
--- /dev/null
+++ b/packages/emulator/test/mutants.ts
@@ -0,0 +1,121 @@
+import { build, type Plugin } from 'esbuild';
+import { readFile } from 'node:fs/promises';
+import { createRequire } from 'node:module';
+import { fileURLToPath } from 'node:url';
+import type * as Explorer from '../src/explorer.ts';
+
+/** A change of the scheduler's own safety, as a piece of its source and what stands in its place. */
+export interface Mutant {
+  name: string;
+  file: string;
+  find: string;
+  put: string;
+  /** The kind of days on which it shows soonest. */
+  size: Explorer.SizeName;
+}
+
+const root = fileURLToPath(new URL('../../..', import.meta.url));
+
+/** The explorer with a mutated scheduler in it. Throws where the source no longer has the piece exactly once. */
+export async function mutatedExplorer(mutant: Mutant): Promise<typeof Explorer> {
+  let replaced = 0;
+  const plugin: Plugin = {
+    name: 'mutant',
+    setup: (setup) => {
+      setup.onLoad({ filter: /scheduler\/src\/.*\.ts$/ }, async ({ path }) => {
+        const source = await readFile(path, 'utf8');
+        if (!path.endsWith(mutant.file)) return { contents: source, loader: 'ts' };
+        const pieces = source.split(mutant.find);
+        replaced += pieces.length - 1;
+        return { contents: pieces.join(mutant.put), loader: 'ts' };
+      });
+    },
+  };
+  const outfile = `${root}/target/mutants/${mutant.name.replaceAll(/\W+/g, '-')}.cjs`;
+  await build({
+    entryPoints: [`${root}/packages/emulator/src/explorer.ts`],
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    logLevel: 'error',
+    outfile,
+    plugins: [plugin],
+  });
+  if (replaced !== 1)
+    throw new Error(`${mutant.name}: its piece stands ${String(replaced)} times in ${mutant.file}`);
+  return createRequire(import.meta.url)(outfile) as typeof Explorer;
+}
+
+export const mutants: Mutant[] = [
+  {
+    name: 'fencing token ignored',
+    file: 'coordination/membership.ts',
+    find: 'token: (before?.token ?? 0) + 1',
+    put: 'token: before?.token ?? 1',
+    size: 'strangers',
+  },
+  {
+    name: 'held tasks released at takeover',
+    file: 'coordination/part.ts',
+    find: 'new Slice(given, true)',
+    put: 'new Slice(given, false)',
+    size: 'storm',
+  },
+  {
+    name: 'lease reckoned without drift and margin',
+    file: 'coordination/part.ts',
+    find: 'this.context.settings.leaseMs * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS',
+    put: 'this.context.settings.leaseMs',
+    size: 'silence',
+  },
+  {
+    name: 'a forget before its record',
+    file: 'coordination/part.ts',
+    find: 'if (slice && !slice.withdrawn && !slice.recorded.has(position)) continue;',
+    put: '',
+    size: 'strangers',
+  },
+  {
+    name: 'proof of contact skipped',
+    file: 'coordination/controller.ts',
+    find: 'return this.deps.clock.now() - this.replica.provenAt < this.proofMs;',
+    put: 'return true;',
+    size: 'strangers',
+  },
+  {
+    name: 'share used before commit',
+    file: 'coordination/limit-shifts.ts',
+    find: 'part.usage.holdBack(team, give);',
+    put: '',
+    size: 'strangers',
+  },
+  {
+    name: 'spot flag ignored',
+    file: 'coordination/placement.ts',
+    find: '(spec.spot || !machine.spot)',
+    put: 'true',
+    size: 'small',
+  },
+  {
+    name: 'poll answered from a stale replica',
+    file: 'coordination/jobs.ts',
+    find: '(await replica.provenWithin(POLL_WAIT_MS))',
+    put: 'true',
+    size: 'strangers',
+  },
+  {
+    name: 'zone rule forgotten when tasks are shared out',
+    file: 'coordination/jobs.ts',
+    find: 'if (spec.oneZone) candidates',
+    put: 'if (false) candidates',
+    size: 'storm',
+  },
+  {
+    name: 'what could be on a suspect machine not counted',
+    file: 'coordination/team-usage.ts',
+    find: 'if (left && !machine.suspect) continue;',
+    put: 'if (left) continue;',
+    size: 'strangers',
+  },
+];
--- /dev/null
+++ b/packages/emulator/test/systems.test.ts
@@ -0,0 +1,333 @@
+import assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { NoAnswer, seededRandom } from '@onyxkeel/scheduler';
+import { Cloud, type Rented } from '../src/cloud.ts';
+import { type CutMode, type Host, Network, type Reply } from '../src/network.ts';
+import { StateService } from '../src/state-service.ts';
+import { HostClock, VirtualTime } from '../src/time.ts';
+import { Worker } from '../src/worker.ts';
+import { newWork, type Workload } from '../src/workload.ts';
+
+let time: VirtualTime;
+let network: Network;
+
+const host = (name: string, kind: Host['kind'], zone: string | null = null, drift = 0): Host => ({
+  name,
+  kind,
+  zone,
+  status: 'up',
+  clock: new HostClock(time, drift),
+});
+
+/** What a promise comes to once so much time has passed; undefined if it is still open. */
+async function within<T>(ms: number, promise: Promise<T>): Promise<T | undefined> {
+  let result: T | undefined;
+  let failure: unknown;
+  promise.then(
+    (value) => (result = value),
+    (error: unknown) => (failure = error),
+  );
+  await time.runUntil(time.now + ms);
+  if (failure !== undefined) throw failure as Error;
+  return result;
+}
+
+beforeEach(() => {
+  time = new VirtualTime();
+  network = new Network(time, seededRandom(1));
+});
+
+describe('time', () => {
+  it('lets what a clock waits for happen late if frozen, never if ended, and early or late by its drift', async () => {
+    const seen: string[] = [];
+    const at = (name: string, clock: HostClock): void =>
+      void clock.sleep(10_000).then(() => seen.push(`${name} ${time.now.toFixed(0)}`));
+    at('fast', new HostClock(time, 1));
+    at('slow', new HostClock(time, -1));
+    const frozen = new HostClock(time, 0);
+    frozen.frozenUntil = 15_000;
+    at('frozen', frozen);
+    const ended = new HostClock(time, 0);
+    ended.ended = true;
+    at('ended', ended);
+    await time.runUntil(20_000);
+    assert.deepEqual(seen, ['fast 9995', 'slow 10005', 'frozen 15000']);
+  });
+});
+
+describe('network', () => {
+  const call = { address: 'b:1', method: 'POST' as const, path: '/x', deadlineMs: 2000 };
+  let a: Host;
+  let b: Host;
+  let got: string[];
+
+  beforeEach(() => {
+    a = host('a', 'node', 'x');
+    b = host('b', 'worker', 'y');
+    got = [];
+    network.serve('b:1', b, ({ body }): Reply => {
+      got.push(body);
+      return { status: 200, body: '{}' };
+    });
+  });
+
+  const cutFor = async (mode: CutMode, bodies: string[]): Promise<string[]> => {
+    const end = network.cut(mode, (one, other) => one === a && other === b);
+    const outcomes: string[] = [];
+    for (const body of bodies) {
+      network
+        .client(a)({ ...call, body })
+        .then(
+          () => outcomes.push(`${body} answered`),
+          (error: unknown) => outcomes.push(`${body} ${error instanceof NoAnswer ? 'unknown' : 'broken'}`),
+        );
+    }
+    await time.runUntil(time.now + 5000);
+    end();
+    await time.runUntil(time.now + 5000);
+    return outcomes;
+  };
+
+  it('holds what was sent on open connections and delivers it in order, given up or not', async () => {
+    await within(100, network.client(a)({ ...call, body: 'first' }));
+    assert.deepEqual(await cutFor('hold', ['1', '2']), ['1 unknown', '2 unknown']);
+    assert.deepEqual(got, ['first', '1', '2']);
+  });
+
+  it('never completes a connection attempt that was given up', async () => {
+    assert.deepEqual(await cutFor('hold', ['1']), ['1 unknown']);
+    assert.deepEqual(got, []);
+  });
+
+  it('loses, resets and refuses as it is told to', async () => {
+    await within(100, network.client(a)({ ...call, body: 'first' }));
+    assert.deepEqual(await cutFor('refuse', ['open']), ['open answered']);
+    assert.deepEqual(await cutFor('drop', ['lost']), ['lost unknown']);
+    assert.deepEqual(await cutFor('reset', ['reset']), ['reset unknown']);
+    assert.deepEqual(await cutFor('refuse', ['new']), ['new unknown']);
+    assert.deepEqual(got, ['first', 'open']);
+  });
+});
+
+describe('state service', () => {
+  let state: StateService;
+  let node: Host;
+  const ask = async (method: string, path: string, body: object = {}): Promise<Reply | undefined> =>
+    within(1000, state.serve({ method, path, body: JSON.stringify(body), from: node }) as Promise<Reply>);
+  const put = (key: string, more: object = {}, when: object[] = []): Promise<Reply | undefined> =>
+    ask('POST', '/txn', { when, writes: [{ put: key, v: { x: 1 }, ...more }] });
+
+  beforeEach(() => {
+    node = host('n', 'node');
+    state = new StateService(time, seededRandom(1), { rps: 20, writeRps: 10, valueKb: 1, txnOps: 3 });
+  });
+
+  it('applies a transaction wholly or not, and tells which condition failed', async () => {
+    assert.equal((await put('a/1', {}, [{ key: 'a/1', edizione: 0 }]))?.body, '{"protocollo":2}');
+    const again = await put('a/1', {}, [{ key: 'a/1', edizione: 0 }]);
+    assert.deepEqual([again?.status, again?.body], [409, '{"failed":["a/1"],"protocollo":2}']);
+  });
+
+  it('refuses what is over its sizes, and calls and changes over its limits, with bursts of a second', async () => {
+    assert.equal((await put('a', { v: 'x'.repeat(2000) }))?.status, 400);
+    const four = Array.from({ length: 4 }, (_, i) => ({ remove: `k${String(i)}` }));
+    assert.equal((await ask('POST', '/txn', { writes: four }))?.status, 400);
+    const calls = Array.from({ length: 30 }, () =>
+      state.serve({ method: 'GET', path: '/kv/none', body: '', from: node }),
+    );
+    await time.runUntil(time.now + 1000);
+    const statuses = (await Promise.all(calls)).map((reply) => reply?.status);
+    assert.equal(statuses.filter((s) => s === 404).length, 20);
+    assert.equal(statuses.filter((s) => s === 429).length, 10);
+  });
+
+  it('gives every lease its full time again after an outage, and none to the node it alone refuses', async () => {
+    await ask('POST', '/grants', { life_ms: 4000 });
+    await put('live/n', { concessione: 1 });
+    state.setOutage(true);
+    await time.runUntil(time.now + 10_000);
+    state.setOutage(false);
+    await time.runUntil(time.now + 3900);
+    assert.deepEqual(state.read('live/n'), { x: 1 });
+    state.setRefused(node, true);
+    assert.equal((await ask('POST', '/grants/1/extend'))?.status, 503);
+    await time.runUntil(time.now + 300);
+    assert.equal(state.read('live/n'), undefined);
+  });
+
+  it('keeps watches open through an outage, and tells with 410 that changes are no longer kept', async () => {
+    const watch = state.serve({
+      method: 'GET',
+      path: '/follow?prefix=a/&from=1&hold_ms=500',
+      body: '',
+      from: node,
+    });
+    await time.runUntil(time.now + 100);
+    state.setOutage(true);
+    assert.equal(await within(2000, watch), undefined);
+    state.setOutage(false);
+    assert.equal((await within(100, watch))?.body, '{"protocollo":1,"events":[]}');
+    const wide = new StateService(time, seededRandom(1), { rps: 1e6, writeRps: 1e6, valueKb: 1, txnOps: 3 });
+    for (let i = 0; i < 10_002; i++) {
+      void wide.serve({ method: 'POST', path: '/txn', body: '{"writes":[{"put":"a","v":1}]}', from: node });
+    }
+    await time.runUntil(time.now + 2000);
+    const old = wide.serve({ method: 'GET', path: '/follow?prefix=a&from=1', body: '', from: node });
+    assert.equal((await within(1000, old))?.status, 410);
+  });
+});
+
+const small = {
+  name: 's',
+  cores: 8,
+  ramGb: 32,
+  localGb: 9,
+  pullGbPerS: 1,
+  price: 1,
+  spotPrice: 0.5,
+  bootS: 10,
+};
+
+describe('cloud', () => {
+  it('rents once for a name, lists late and at times backwards, and deletes at once', async () => {
+    const gone: string[] = [];
+    const cloud = new Cloud(
+      time,
+      seededRandom(3),
+      {
+        types: [small],
+        zones: ['z'],
+        capacity: [{ type: 's', zone: 'z', ordinary: 3, spot: 0 }],
+        rps: 50,
+        listLagMs: 5000,
+      },
+      { up: () => {}, gone: (m) => gone.push(m.id) },
+    );
+    const from = host('n', 'node');
+    const ask = async (method: string, path: string, body = ''): Promise<Reply | undefined> =>
+      within(400, cloud.serve({ method, path, body, from }) as Promise<Reply>);
+    const rent = '{"richiesta":"r","modello":"s","sede":"z","prestiti":false,"number":5}';
+    const first = await ask('POST', '/hosts', rent);
+    assert.equal(first?.body, '{"banchi":["n-000001","n-000002","n-000003"]}');
+    assert.deepEqual(await ask('POST', '/hosts', rent), first);
+    assert.equal((await ask('POST', '/hosts', rent.replace('"r"', '"q"')))?.status, 503);
+    assert.equal((await ask('GET', '/hosts'))?.body, '{"banchi":[],"truncated":false}');
+    const seen: number[] = [];
+    for (let i = 0; i < 30; i++) {
+      const page = JSON.parse((await ask('GET', '/hosts?most=2'))?.body ?? '{}') as { banchi: unknown[] };
+      seen.push(page.banchi.length);
+    }
+    assert.ok(
+      seen.some((count, i) => i > 0 && count < (seen[i - 1] ?? 0)),
+      'a list older than the one before',
+    );
+    assert.equal(seen.at(-1), 2);
+    await time.runUntil(60_000);
+    await ask('POST', '/hosts/return', '{"banchi":["n-000001","n-999999"]}');
+    assert.deepEqual(gone, ['n-000001']);
+  });
+});
+
+describe('worker', () => {
+  let worker: Worker;
+  let controller: Host;
+  let events: string[];
+  let answer: Reply;
+  let reports: { mandato: number; turno: number; pratiche: { causale?: string; stato: string }[] }[];
+  const workload: Workload = new Map();
+
+  beforeEach(() => {
+    events = [];
+    reports = [];
+    answer = { status: 200, body: '{"mandato":1,"ordini":[]}' };
+    controller = host('node-0', 'node', 'z');
+    network.serve('c:1', controller, ({ body }) => {
+      reports.push(JSON.parse(body) as (typeof reports)[number]);
+      return answer;
+    });
+    const spec = {
+      id: 'j-1',
+      tasks: 9,
+      cores: 4,
+      ramGb: 1,
+      image: 'i',
+      imageGb: 1,
+      kind: 'batch',
+      checkpointS: 2,
+      saveS: 1,
+    };
+    const work = newWork(spec as unknown as Parameters<typeof newWork>[0], () => 20, false);
+    work.submitted = true;
+    workload.set('j-1', work);
+    const machine = { id: 'w', endpoint: 'w:1', type: small, zone: 'z', spot: false } as Rented;
+    worker = new Worker(machine, host('w', 'worker', 'z'), {
+      time,
+      network,
+      random: seededRandom(2),
+      workload,
+      watcher: {
+        onStart: (_, task, attempt) => events.push(`start ${task} ${String(attempt)}`),
+        onEnd: (_, task, attempt, why) => events.push(`end ${task} ${String(attempt)} ${why}`),
+        onResultTaken: (task) => events.push(`taken ${task}`),
+      },
+      reportMs: 2000,
+      leaseMs: 10_000,
+      nodes: [{ name: 'node-0', address: 'c:1', zone: 'z' }],
+    });
+  });
+
+  const command = async (
+    token: number,
+    session: number,
+    ...orders: object[]
+  ): Promise<number | undefined> => {
+    const body = JSON.stringify({ mandato: token, turno: session, ordini: orders });
+    const call = { address: 'w:1', method: 'POST' as const, path: '/commands', body, deadlineMs: 1000 };
+    return (await within(20, network.client(controller)(call)))?.status;
+  };
+  const launch = (index: number, attempt: number): object => ({
+    ordine: 'launch',
+    pratica: `j-1/${String(index)}`,
+    tentativo: attempt,
+  });
+
+  it('drops what carries a lower token or another session, and says so', async () => {
+    assert.equal(await command(5, 1, launch(0, 1)), 200);
+    assert.equal(await command(4, 1, launch(1, 1)), 409);
+    assert.equal(await command(5, 2, launch(1, 1)), 409);
+    await time.runUntil(3000);
+    assert.deepEqual(events, ['start j-1/0 1']);
+  });
+
+  it('refuses a start for want of room, of a job, or because the task is there already', async () => {
+    const unknown = { ordine: 'launch', pratica: 'j-2/0', tentativo: 1 };
+    await command(1, 1, launch(0, 1), launch(0, 2), launch(1, 1), launch(2, 1), unknown);
+    await time.runUntil(2500);
+    const why = reports.at(-1)?.pratiche.flatMap((t) => t.causale ?? []);
+    assert.deepEqual(why?.sort(), ['busy', 'full', 'no_such']);
+  });
+
+  it('kills its tasks when no answer renewed its lease, hanging or not, and goes on with the next session', async () => {
+    await command(1, 1, launch(0, 1));
+    await time.runUntil(3000);
+    answer = { status: 200, body: '{"mandato":0,"ordini":[]}' }; // a lower token renews nothing
+    worker.host.clock.frozenUntil = 20_000;
+    await time.runUntil(19_000);
+    assert.deepEqual(events, ['start j-1/0 1', 'end j-1/0 1 lost']);
+    await time.runUntil(21_000);
+    assert.equal(reports.at(-1)?.turno, 2);
+  });
+
+  it('saves when it is given the time to, and runs the rest only the next time; a kept result is told at once', async () => {
+    await command(1, 1, launch(0, 1));
+    await time.runUntil(12_000);
+    await command(1, 1, { ordine: 'halt', pratica: 'j-1/0', tentativo: 1, tolleranza_s: 5 });
+    await time.runUntil(14_000);
+    await command(1, 1, launch(0, 2));
+    const began = time.now;
+    await time.runUntil(began + 13_000);
+    assert.deepEqual(events.slice(1), ['end j-1/0 1 stopped', 'start j-1/0 2', 'end j-1/0 2 done']);
+    await command(1, 1, { ordine: 'forget', pratica: 'j-1/0', tentativo: 2 }, launch(0, 3));
+    assert.deepEqual(events.slice(4), ['taken j-1/0', 'start j-1/0 3', 'end j-1/0 3 done']);
+  });
+});
