--- a/packages/emulator/src/judge.ts
+++ b/packages/emulator/src/judge.ts
@@ -50,6 +50,8 @@
  */
 export class Judge implements TaskWatcher {
   readonly violations: Violation[] = [];
+  /** When a task last started or ended. */
+  movedAt = 0;
   started = 0;
   completed = 0;
   /** Starts of tasks that had been started before. */
@@ -88,6 +90,7 @@
 
   onStart(worker: Worker, task: string, attempt: number, work: Work): void {
     this.note(`start ${task} ${String(attempt)} ${worker.id}`);
+    this.movedAt = this.time.now;
     this.started++;
     if (this.everStarted.has(task)) this.repeated++;
     this.everStarted.add(task);
@@ -135,6 +138,7 @@
 
   onEnd(worker: Worker, task: string, attempt: number, why: Causal | 'lost', work: Work): void {
     this.note(`end ${task} ${String(attempt)} ${worker.id} ${why}`);
+    this.movedAt = this.time.now;
     if (why === 'done') this.completed++;
     this.on.get(task)?.delete(worker);
     if (this.on.get(task)?.size === 0) {
