After a crash only what an unheard machine may run is held

Change: a slice is held while some suspect machine is of a kind its job allows and that it fits; suspects are counted by kind, so a report costs no more.

--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -24,6 +24,7 @@
   type Attempt,
   booked,
   detach,
+  fits,
   type Machine,
   type Need,
   newMachine,
@@ -54,7 +55,7 @@
 import type { Limits } from './limits.ts';
 import { PartRecords } from './part-records.ts';
 import { TeamUsage } from './team-usage.ts';
-import { Chooser, Evictor, Refusals } from './placement.ts';
+import { allows, Chooser, Evictor, Refusals } from './placement.ts';
 import { latestStart } from './waiting.ts';
 
 export interface PartContext {
@@ -106,6 +107,8 @@
   private mayPreempt = false;
   /** Whether any slice still holds tasks that a machine not fenced yet may run. */
   private holding: boolean;
+  /** The suspect machines, by kind: what rules and sizes allow on one of a kind they allow on all of it. */
+  private readonly suspects = new Map<string, Set<Machine>>();
 
   constructor(
     readonly name: string,
@@ -129,6 +132,9 @@
         // The owner before may have answered reports for as long as it could believe in its ownership.
         machine.answeredAt = now + context.proofMs;
         this.machines.set(id, machine);
+        const kind = `${each.type}/${String(each.spot)}`;
+        const alike = this.suspects.get(kind) ?? new Set();
+        this.suspects.set(kind, alike.add(machine));
       }
     }
     for (const given of before.slices) this.slices.set(given.name, new Slice(given, true));
@@ -152,6 +158,8 @@
       (key) => context.replica.version(key),
     );
     this.holding = before.slices.length > 0;
+    // Of some slices nothing can be on any machine: none is recorded, or none that they are allowed on.
+    this.releaseHeld();
   }
 
   get active(): boolean {
@@ -255,7 +263,7 @@
     }
     if (report.token === this.token && !machine.fenced) {
       machine.fenced = true;
-      machine.suspect = false;
+      this.clear(machine);
       this.context.log.debug({ part: this.name, machine: machine.id }, 'machine fenced');
     }
     const listed = new Set<string>();
@@ -288,7 +296,6 @@
     machine.load = booked(machine, (attempt) => attempt.phase === 'seen');
     machine.drift = booked(machine, (attempt) => attempt.phase !== 'seen');
     this.noteIdle(machine, now);
-    if (!machine.suspect) this.releaseHeld();
     return true;
   }
 
@@ -424,16 +431,34 @@
     this.records.noteSettled(slice);
   }
 
-  /** Once no suspect machine is left, what is still unaccounted for runs nowhere. */
+  /** What is on the machine is known now, or certainly nothing is: it is no reason any more to hold tasks. */
+  private clear(machine: Machine): void {
+    machine.suspect = false;
+    for (const [kind, alike] of this.suspects) {
+      if (!alike.delete(machine) || alike.size > 0) continue;
+      this.suspects.delete(kind);
+      this.releaseHeld();
+    }
+  }
+
+  /**
+   * What is still unaccounted for runs nowhere once no suspect machine is left on which an owner before could have
+   * started it: none starts a task where its job does not allow it or where it does not fit.
+   */
   private releaseHeld(): void {
     if (!this.holding) return;
-    for (const machine of this.machines.values()) if (machine.suspect) return;
+    const kinds = [...this.suspects.values()].flatMap(([one]) => one ?? []);
+    let holding = false;
     for (const slice of this.slices.values()) {
       if (slice.held.size === 0) continue;
-      slice.release();
-      this.schedulePlacing();
+      if (kinds.some((m) => allows(slice.spec, m) && (m.type === null || fits(slice.spec, m.type))))
+        holding = true;
+      else {
+        slice.release();
+        this.schedulePlacing();
+      }
     }
-    this.holding = false;
+    this.holding = holding;
   }
 
   // --- handing over ---
@@ -782,8 +807,7 @@
     for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
     machine.ended.clear();
     machine.unforgettable.clear();
-    machine.suspect = false;
-    this.releaseHeld();
+    this.clear(machine);
   }
 
   private async fence(machine: Machine): Promise<void> {
@@ -810,7 +834,7 @@
     const at = this.idle.indexOf(machine);
     if (at >= 0) this.idle.splice(at, 1);
     for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
-    this.releaseHeld();
+    this.clear(machine);
     this.schedulePlacing();
     this.records.dropMachine(machine.id);
   }
--- a/packages/scheduler/test/stories.test.ts
+++ b/packages/scheduler/test/stories.test.ts
@@ -336,6 +336,38 @@
     assert.equal(c.onMachines().length, 8, 'those that waited and those that were on it');
   });
 
+  it('holds after a crash only what a machine not heard yet may run', async () => {
+    c = await cluster();
+    const spot = c.addWorker('b3', 'b', true);
+    await c.clock.pass(3 * REPORT_MS);
+    await c.submit('a', 'j-46', 16, { sede: 'b' });
+    await c.submit('a', 'j-47', 16, { sede: 'b', prestiti: true });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.deepEqual(
+      spot.running().filter((task) => task.startsWith('j-46')),
+      [],
+      'it may not run there',
+    );
+    c.crash('b');
+    c.mute.add('b3');
+    for (const zone of zones) c.fault(zone, spot.address, 'silent');
+    for (const zone of zones) c.fault(zone, 'cloud:1', 'refused');
+    const ownTime = 4 * REPORT_MS;
+    await c.clock.pass(ownTime);
+    const started = (job: string): number =>
+      [...c.workers.values()].flatMap((w) => w.started).filter((s) => s.task.startsWith(job)).length;
+    const before = started('j-47');
+    for (const id of ['b1', 'b2']) {
+      const worker = c.workers.get(id);
+      for (const task of worker?.running() ?? []) worker?.finish(task);
+    }
+    await c.clock.pass(REPORT_MS);
+    assert.equal(started('j-46'), 16, 'what may not be on the silent machine went on');
+    assert.equal(started('j-47'), before, 'what may be there waits for it');
+    await c.clock.pass(LEASE_MS + 4 * REPORT_MS);
+    assert.equal(await workUntilDone('a', 'j-47'), 'done');
+  });
+
   it('hands over what runs nowhere: a machine that does not answer the next owner holds none of it up', async () => {
     c = await cluster();
     for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
