--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -9,6 +9,7 @@
   seededRandom,
 } from '@onyxkeel/scheduler';
 import { Cloud, type Capacity, type Rented } from './cloud.ts';
+import { EPOCH_MS, START_MS } from './constants.ts';
 import { Judge } from './judge.ts';
 import { LoadBalancer } from './load-balancer.ts';
 import { type Host, Network } from './network.ts';
@@ -21,10 +22,6 @@
 
 const STATE = 'state:1';
 const CLOUD = 'cloud:1';
-/** Milliseconds. The time of day at the day's begin; any will do. */
-const EPOCH_MS = 1_700_000_000_000;
-/** Milliseconds from a process's start until it serves. */
-const START_MS = 900;
 
 /** What a deployment sets; units as in the platform's settings (DEPLOY). */
 export interface Deployment {
--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -39,6 +39,7 @@
 export const STATE_LATE_MS = 30_000;
 
 // --- cloud (PROTOCOL, "Controller nodes -> cloud") ---
+/** Machines at most in a rental, in a return, and in one page of the list. */
 export const RENT_MOST = 50;
 export const RETURN_MOST = 100;
 export const LIST_MOST = 500;
@@ -65,9 +66,12 @@
 export const FAULT_MS = 400;
 
 // --- users (PROTOCOL, "Users -> controller nodes") ---
+/** Milliseconds that a user waits for an answer to a submission or a cancellation, and to a poll. */
 export const SUBMIT_DEADLINE_MS = 5000;
 export const POLL_DEADLINE_MS = 2000;
+/** Milliseconds between polls, roughly. */
 export const POLL_MS = 5000;
+/** Milliseconds before a submission is tried again: at least, at most if the service asks for more, and in all. */
 export const RETRY_MS = 1000;
 export const RETRY_AFTER_MOST_MS = 30_000;
 export const RETRY_TOTAL_MS = 60_000;
@@ -80,6 +84,36 @@
 /** Polls of a job that must have failed in that time: fewer prove nothing. */
 export const FORGOTTEN_POLLS = 6;
 
+/** Milliseconds a node stays out after its first removal, the most it doubles to, and within what time it does. */
+export const PAUSE_MS = 3000;
+export const PAUSE_MOST_MS = 60_000;
+export const PAUSE_WINDOW_MS = 120_000;
+
+// --- controllers and days ---
+/** Milliseconds. The time of day at the day's begin; any will do. */
+export const EPOCH_MS = 1_700_000_000_000;
+/** Milliseconds from a process's start until it serves. */
+export const START_MS = 900;
+/** Milliseconds after which the platform starts a controller that ended again (DEPLOY: about 6 s). */
+export const RESTART_MS = 6000;
+/** Milliseconds for which a controller that is restarted in order is away. */
+export const ROLLING_MS = 2500;
+/** Virtual seconds before the first job, while the controllers come up. */
+export const WARM_UP_S = 12;
+/** Virtual seconds without a task starting or ending, all faults over, after which a job that waits waits for ever. */
+export const QUIET_S = 420;
+/** Virtual seconds after which a day is ended all the same: several times what the longest work on few CPUs takes. */
+export const LONGEST_S = 10_000;
+/** Calls above a limit that are let pass: processes that start have full buckets each, and may start together. */
+export const OVER_LIMIT_SHARE = 0.03;
+export const OVER_LIMIT_FEW = 60;
+
+// --- explorer ---
+/** Milliseconds that the shrinking of one failing day may take. */
+export const SHRINK_MS = 60_000;
+/** Failing days that are shrunk; the others are listed only. */
+export const SHRUNK_MOST = 3;
+
 // --- judging ---
 /** CPUs. What sums of amounts may be off by rounding. */
 export const ROUNDING = 1e-6;
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -1,14 +1,10 @@
 import type { Random } from '@onyxkeel/scheduler';
 import type { Cluster } from './cluster.ts';
+import { RESTART_MS, ROLLING_MS } from './constants.ts';
 import type { Fault } from './day.ts';
 import type { Host } from './network.ts';
 import type { Worker } from './worker.ts';
 
-/** Milliseconds after which the platform starts a controller that ended again (DEPLOY: about 6 s). */
-const RESTART_MS = 6000;
-/** Milliseconds for which a controller that is restarted in order is away. */
-const ROLLING_MS = 2500;
-
 /** Faults of a day, each begun and ended at its time. What overlaps is counted, so that an end ends its own only. */
 export class Faults {
   private readonly ends: (() => void)[] = [];
--- a/packages/emulator/src/load-balancer.ts
+++ b/packages/emulator/src/load-balancer.ts
@@ -1,13 +1,8 @@
 import { NoAnswer, type Random } from '@onyxkeel/scheduler';
-import { PROBE_DEADLINE_MS, PROBE_MS } from './constants.ts';
+import { PAUSE_MOST_MS, PAUSE_MS, PAUSE_WINDOW_MS, PROBE_DEADLINE_MS, PROBE_MS } from './constants.ts';
 import type { Host, Network } from './network.ts';
 import type { VirtualTime } from './time.ts';
 
-/** Milliseconds a node stays out after its first removal, the most it doubles to, and within what time it does. */
-const PAUSE_MS = 3000;
-const PAUSE_MOST_MS = 60_000;
-const PAUSE_WINDOW_MS = 120_000;
-
 export interface Balanced {
   readonly address: string;
   connections: number;
