Scheduler: a part divided by what it owns

Cause: coordination/part.ts had 880 lines and owned reports, attempts, orders to machines, rounds of placing and what a crash holds; the work on recovery touches all of them. Change: suspects.ts (what is held because of which machines), part-tasks.ts (which task is on which machine), machine-orders.ts (what machines are told), placing.ts (rounds, idle list), part-context.ts; part.ts has 340 lines. A pure move: no decision changed.

--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -99,7 +99,7 @@
   },
   {
     name: 'a forget before its record',
-    file: 'coordination/part.ts',
+    file: 'coordination/machine-orders.ts',
     find: 'if (slice && !slice.withdrawn && !slice.recorded.has(position)) continue;',
     put: '',
     size: 'strangers',
--- /dev/null
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -0,0 +1,247 @@
+import {
+  ATTEMPTS_PER_TOKEN,
+  FAULT_PAUSE_MS,
+  FAULTS_TO_DRAIN,
+  TASK_RETRY_MAX_MS,
+  TASK_RETRY_MS,
+} from '../constants.ts';
+import { attach, type Attempt, booked, detach, type Machine, useImage } from '../bookkeeping/machines.ts';
+import type { Slice } from '../bookkeeping/slices.ts';
+import type { Int } from '../protocol/json.ts';
+import { type EndReason, parseTaskName, type Report, taskName } from '../protocol/workers.ts';
+import type { PartContext } from './part-context.ts';
+import type { TeamUsage } from './team-usage.ts';
+
+export const attemptKey = (task: string, number: Int): string => `${task}#${String(number)}`;
+
+/** Which task of a part is on which machine, as an attempt each: how attempts begin, are heard of, and end. */
+export class PartTasks {
+  private counter = 0;
+
+  constructor(
+    private readonly context: PartContext,
+    private readonly part: {
+      name: string;
+      token: number;
+      slices: Map<string, Slice>;
+      usage: TeamUsage;
+      /** A task of the slice has its result. */
+      onSettled: (slice: Slice) => void;
+      /** A task waits again. */
+      onFreed: () => void;
+    },
+  ) {}
+
+  /** Begins an attempt, which the machine is still to be told of. */
+  start(machine: Machine, slice: Slice, position: number, now: number): void {
+    if (this.counter >= ATTEMPTS_PER_TOKEN - 1) return this.context.onOutdated(this.part.name);
+    const number = this.part.token * ATTEMPTS_PER_TOKEN + ++this.counter;
+    const task = taskName(slice.spec.id, slice.index(position));
+    const key = attemptKey(task, number);
+    this.attach(machine, {
+      key,
+      task,
+      number,
+      slice,
+      position,
+      phase: 'new',
+      state: 'fetching',
+      halting: false,
+      graceS: 0,
+      startedAt: now,
+    });
+    slice.place(position, key);
+    machine.drift = booked(machine, (attempt) => attempt.phase !== 'seen');
+    machine.emptySince = Infinity;
+  }
+
+  /** Takes the tasks that a machine reports, in the answer to its own report or to a call (`checkin` false). */
+  onReport(machine: Machine, report: Report, checkin: boolean): void {
+    const listed = new Set<string>();
+    for (const reported of report.tasks) {
+      const key = attemptKey(reported.task, reported.attempt);
+      listed.add(key);
+      const attempt =
+        machine.attempts.get(key) ??
+        this.adopt(machine, key, reported.task, reported.attempt, reported.state, reported.reason);
+      if (!attempt) continue;
+      attempt.phase = 'seen';
+      if (attempt.slice && (reported.state === 'running' || reported.reason === 'done')) {
+        const { image, imageGb } = attempt.slice.spec;
+        if (attempt.state === 'fetching' || !machine.images.has(image)) useImage(machine, image, imageGb);
+      }
+      attempt.state = reported.state;
+      if (reported.reason !== null) this.end(machine, attempt, reported.reason);
+    }
+    for (const attempt of [...machine.attempts.values()]) {
+      if (listed.has(attempt.key)) continue;
+      if (attempt.phase === 'seen') this.lose(machine, attempt);
+      // The answer that held the launch was dropped: reports go one at a time, so this one was sent after.
+      // A direct command's answer proves nothing of the kind, as it can cross the report's answer.
+      else if (attempt.phase === 'sent' && checkin) {
+        if (attempt.halting) this.lose(machine, attempt);
+        else attempt.phase = 'new';
+      }
+    }
+    for (const key of [...machine.ended.keys()]) if (checkin && !listed.has(key)) machine.ended.delete(key);
+  }
+
+  /** The machine has gone to its next session: nothing of the last one is on it. */
+  newSession(machine: Machine, session: Int): void {
+    if (machine.session !== 0 && machine.attempts.size > 0) {
+      this.context.log.info(
+        { machine: machine.id, tasks: machine.attempts.size },
+        'machine lost its session',
+      );
+    }
+    for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
+    machine.ended.clear();
+    machine.unforgettable.clear();
+    machine.session = session;
+    machine.seq = 0;
+  }
+
+  /** The attempt is certainly gone from its machine without a result. */
+  lose(machine: Machine, attempt: Attempt): void {
+    this.detach(machine, attempt);
+    attempt.slice?.unplace(attempt.position, attempt.key, null);
+    this.part.onFreed();
+  }
+
+  /** Every lease of the machine is over: the worker has killed its tasks and gone to its next session. */
+  expire(machine: Machine): void {
+    if (machine.attempts.size > 0) {
+      this.context.log.info(
+        { machine: machine.id, tasks: machine.attempts.size },
+        'lease over: tasks are free',
+      );
+    }
+    // No earlier command counts in the next session.
+    for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
+    machine.ended.clear();
+    machine.unforgettable.clear();
+  }
+
+  /** A reported attempt that this owner did not start, or gave up: left by an owner before, or late. */
+  private adopt(
+    machine: Machine,
+    key: string,
+    task: string,
+    number: Int,
+    state: Attempt['state'],
+    reason: EndReason | null,
+  ): Attempt | null {
+    if (machine.ended.has(key)) return null;
+    const found = this.find(task);
+    const slice = found?.slice ?? null;
+    const position = found?.position ?? 0;
+    const free = slice !== null && !slice.placed.has(position) && !slice.settled.has(position);
+    if (reason !== null) {
+      // Its result counts wherever it was reached.
+      if (slice && reason === 'done') this.settle(slice, position);
+      const at = this.context.clock.now();
+      machine.ended.set(key, { task, number, reason, slice: reason === 'done' ? slice : null, position, at });
+      return null;
+    }
+    const attempt: Attempt = {
+      key,
+      task,
+      number,
+      slice: free ? slice : null,
+      position,
+      phase: 'seen',
+      state,
+      halting: !free,
+      graceS: 0,
+      startedAt: this.context.clock.now(),
+    };
+    if (free) slice.place(position, key);
+    this.attach(machine, attempt);
+    return attempt;
+  }
+
+  private find(task: string): { slice: Slice; position: number } | null {
+    const parsed = parseTaskName(task);
+    if (!parsed) return null;
+    for (const slice of this.part.slices.values()) {
+      if (slice.spec.id !== parsed.job || !slice.has(parsed.index)) continue;
+      const position = slice.position(parsed.index);
+      // Settled may mean moved to another slice of this same part.
+      if (position !== null) return { slice, position };
+    }
+    return null;
+  }
+
+  private end(machine: Machine, attempt: Attempt, reason: EndReason): void {
+    const { slice, position, key } = attempt;
+    const now = this.context.clock.now();
+    this.detach(machine, attempt);
+    machine.ended.set(key, {
+      task: attempt.task,
+      number: attempt.number,
+      reason,
+      slice: reason === 'done' ? slice : null,
+      position,
+      at: now,
+    });
+    if (!slice || slice.withdrawn) return;
+    if (reason === 'done') {
+      machine.faults = 0;
+      machine.faultJobs.clear();
+      slice.failures = 0;
+      this.settle(slice, position);
+      return;
+    }
+    if (reason === 'stopped') return slice.unplace(position, key, null);
+    slice.failures++;
+    const pause = Math.min(TASK_RETRY_MS * 2 ** Math.min(slice.failures, 10), TASK_RETRY_MAX_MS);
+    slice.unplace(position, key, now + pause);
+    if (reason === 'error') this.fault(machine, slice.spec.id, now);
+    this.context.log.info({ machine: machine.id, task: attempt.task, reason }, 'task failed');
+  }
+
+  /** A sick machine fails everything: it must not swallow the waiting tasks one by one. */
+  private fault(machine: Machine, job: string, now: number): void {
+    machine.faults++;
+    machine.faultJobs.add(job);
+    machine.pausedUntil = now + FAULT_PAUSE_MS * 2 ** Math.min(machine.faults - 1, 5);
+    // One job that fails everywhere must not take the machines down with it.
+    if (machine.faults >= FAULTS_TO_DRAIN && machine.faultJobs.size >= 2 && !machine.draining) {
+      machine.draining = true;
+      this.context.log.info(
+        { machine: machine.id, faults: machine.faults },
+        'machine drained: tasks of several jobs fail on it',
+      );
+    }
+  }
+
+  private settle(slice: Slice, position: number): void {
+    if (slice.spec.kind === 'service') return; // a replica that exits is replaced
+    slice.settle(position);
+    this.part.onSettled(slice);
+  }
+
+  /** The slice's job is over: what runs of it is stopped. True if the machine is to be told. */
+  withdraw(machine: Machine, slice: Slice): boolean {
+    let commanded = false;
+    for (const attempt of [...machine.attempts.values()]) {
+      if (attempt.slice !== slice) continue;
+      attempt.halting = true;
+      attempt.graceS = 0;
+      if (attempt.phase === 'new') this.detach(machine, attempt);
+      else commanded = true;
+    }
+    return commanded;
+  }
+
+  private attach(machine: Machine, attempt: Attempt): void {
+    attach(machine, attempt);
+    this.part.usage.count(attempt, 1);
+  }
+
+  private detach(machine: Machine, attempt: Attempt): void {
+    if (machine.attempts.get(attempt.key) !== attempt) return;
+    detach(machine, attempt);
+    this.part.usage.count(attempt, -1);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/coordination/suspects.ts
@@ -0,0 +1,58 @@
+import { fits, type Machine } from '../bookkeeping/machines.ts';
+import type { Slice } from '../bookkeeping/slices.ts';
+import { allows } from './placement.ts';
+
+/**
+ * The machines on which an owner before may have started tasks that nobody here knows of, and what must be held
+ * because of them.
+ */
+export class Suspects {
+  /** By kind: what rules and sizes allow on one machine of a kind they allow on all of it. */
+  private readonly byKind = new Map<string, Set<Machine>>();
+  /** Whether any slice still holds tasks that a machine not fenced yet may run. */
+  holding: boolean;
+
+  constructor(
+    private readonly slices: Map<string, Slice>,
+    private readonly onReleased: () => void,
+  ) {
+    this.holding = slices.size > 0;
+  }
+
+  add(machine: Machine): void {
+    machine.suspect = true;
+    const kind = `${machine.typeName}/${String(machine.spot)}`;
+    const alike = this.byKind.get(kind) ?? new Set();
+    this.byKind.set(kind, alike.add(machine));
+  }
+
+  /** What is on the machine is known now, or certainly nothing is: it is no reason any more to hold tasks. */
+  clear(machine: Machine): void {
+    machine.suspect = false;
+    for (const [kind, alike] of this.byKind) {
+      if (!alike.delete(machine) || alike.size > 0) continue;
+      this.byKind.delete(kind);
+      this.release();
+    }
+  }
+
+  /**
+   * What is still unaccounted for runs nowhere once no suspect machine is left on which an owner before could have
+   * started it: none starts a task where its job does not allow it or where it does not fit.
+   */
+  release(): void {
+    if (!this.holding) return;
+    const kinds = [...this.byKind.values()].flatMap(([one]) => one ?? []);
+    let holding = false;
+    for (const slice of this.slices.values()) {
+      if (slice.held.size === 0) continue;
+      if (kinds.some((m) => allows(slice.spec, m) && (m.type === null || fits(slice.spec, m.type))))
+        holding = true;
+      else {
+        slice.release();
+        this.onReleased();
+      }
+    }
+    this.holding = holding;
+  }
+}
