--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -1,37 +1,28 @@
-import { setMaxListeners } from 'node:events';
 import {
   CATALOG_MS,
-  CLOUD_DEADLINE_MS,
   CLOCK_DRIFT,
-  COMMAND_DEADLINE_MS,
-  FENCES_PER_CPU_S,
-  FEW_UNFENCED,
-  IN_TIME_MS,
-  FORWARD_DEADLINE_MS,
+  CLOUD_DEADLINE_MS,
   LEASE_MARGIN_MS,
   LIST_MS,
-  ORDER_MS,
-  MESH_BEAT_MS,
-  AVERAGE_STEP,
   OWNERSHIP_TICK_MS,
   QUOTA_SHIFT_MS,
   REACH_MS,
-  REACH_TRIES,
   RENT_TICK_MS,
   REPORT_HOLD_MS,
   RETRY_MS,
   STATE_DEADLINE_MS,
 } from '../constants.ts';
-import { type LiveRecord, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
+import { KnownPages } from '../bookkeeping/known-pages.ts';
 import { OpenJobs } from '../bookkeeping/open-jobs.ts';
+import { type LiveRecord, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
 import { Replica, Store } from '../bookkeeping/store.ts';
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
-import { type Int, parseJson, stringifyJson } from '../protocol/json.ts';
-import { decodeMesh, type Handover, type MeshMessage, type PartMessage } from '../protocol/mesh.ts';
+import type { Int } from '../protocol/json.ts';
+import { decodeMesh, type MeshMessage } from '../protocol/mesh.ts';
 import { stateApi } from '../protocol/state.ts';
 import type { JobSpec, UserAnswer } from '../protocol/users.ts';
-import { type Report, workerPaths } from '../protocol/workers.ts';
+import type { Report } from '../protocol/workers.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
 import { Lateness } from '../transport/lateness.ts';
@@ -40,15 +31,16 @@
 import { type Log, routine } from '../transport/routine.ts';
 import { Averages } from './averages.ts';
 import { CloudCalls } from './cloud-calls.ts';
-import { Jobs, type UserOp } from './jobs.ts';
+import { Jobs } from './jobs.ts';
 import { JobEnds } from './job-ends.ts';
+import { JobOrder } from './job-order.ts';
 import { Limits } from './limits.ts';
 import { LimitShifts } from './limit-shifts.ts';
 import { Membership } from './membership.ts';
-import { Part } from './part.ts';
+import { endless, OwnedParts } from './owned-parts.ts';
 import { partMap, type PartMap } from './parts.ts';
-import { Renting } from './renting.ts';
-import { type Planned, servingOrder } from './waiting.ts';
+import { Reach } from './reach.ts';
+import { SiblingCalls } from './sibling-calls.ts';
 
 export interface ControllerDeps {
   settings: Settings;
@@ -64,16 +56,6 @@
   signal: AbortSignal;
 }
 
-interface Owned {
-  part: Part;
-  renting: Renting;
-  abort: AbortController;
-  told: { idle: boolean; average: number; at: number };
-}
-
-/** The pages of one kind that a part's owner keeps, by key. */
-type KnownPages<T> = Map<string, { record: T; version: Int }>;
-
 /** One controller node: wires the replica, the membership, the owned parts and the users' requests together. */
 export class Controller implements ApiHandlers {
   private readonly parts: PartMap;
@@ -86,22 +68,17 @@
   private readonly cloud: CloudCalls;
   private readonly jobEnds: JobEnds;
   private readonly limitShifts: LimitShifts;
-  private readonly owned = new Map<string, Owned>();
+  private readonly owned: OwnedParts;
+  private readonly reach: Reach;
+  private readonly siblings: SiblingCalls;
   private readonly openJobs = new OpenJobs();
-  private readonly machines = new Map<string, KnownPages<MachinesRecord>>();
-  private readonly progressPages = new Map<string, KnownPages<ProgressRecord>>();
-  private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
-  /** What the last owner before told of each part. */
-  private readonly handovers = new Map<string, Handover>();
+  private readonly machinePages = new KnownPages<MachinesRecord>();
+  private readonly progressPages = new KnownPages<ProgressRecord>();
   private readonly proofMs: number;
   private readonly lateness: Lateness;
   /** Aborted, and replaced, whenever who owns what or who is up changes. */
   private owners = endless();
-  /** Calls to machines not fenced yet that may still be made in this tick, by all parts together. */
-  private fences = 0;
-  private asks = 0;
   private types: MachineType[] | null = null;
-  private order: { at: number; jobs: Map<string, number> } = { at: -Infinity, jobs: new Map() };
   private loaded = false;
 
   constructor(private readonly deps: ControllerDeps) {
@@ -130,7 +107,7 @@
       store: this.store,
       replica: this.replica,
       parts: this.parts,
-      busy: () => [...this.owned.values()].some(({ part }) => part.unfenced > FEW_UNFENCED),
+      busy: () => this.owned.busy,
     });
     this.limits = new Limits(settings.teams, this.parts.names);
     this.cloud = new CloudCalls(
@@ -153,7 +130,7 @@
       catalog: () => this.types,
       openSpec: (job) => this.openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => this.progress(job),
-      passOn: (op, body) => this.passOn(op, body),
+      passOn: (op, body) => this.siblings.passOn(op, body),
     });
     const { store, replica, limits, averages, openJobs } = this;
     const { wallClock } = deps;
@@ -163,9 +140,8 @@
       log,
       store,
       openJobs,
-      owns: (part) => this.owned.has(part),
+      owns: (part) => this.owned.get(part) !== undefined,
     });
-    const parts = (): Part[] => [...this.owned.values()].map((owned) => owned.part);
     const partNames = this.parts.names;
     this.limitShifts = new LimitShifts({
       log,
@@ -175,7 +151,7 @@
       limits,
       averages,
       partNames,
-      parts,
+      parts: () => this.owned.all(),
     });
     // From its last proof, an owner may answer reports for so long that the lease it renews last, and
     // with it every task of a job cancelled since, is over within the time a cancellation has.
@@ -183,6 +159,44 @@
       0,
       settings.cancelMs / (1 + CLOCK_DRIFT) - settings.leaseMs * (1 + CLOCK_DRIFT) - 2 * LEASE_MARGIN_MS,
     );
+    const { membership, machinePages, progressPages } = this;
+    const order = new JobOrder({ settings, clock, wallClock, openJobs, limits, averages });
+    const catalog = (): MachineType[] | null => this.types;
+    this.owned = new OwnedParts({
+      settings,
+      clock,
+      wallClock,
+      random,
+      log,
+      http,
+      signal,
+      store,
+      replica,
+      membership,
+      parts: this.parts,
+      limits,
+      averages,
+      cloud: this.cloud,
+      openJobs,
+      lateness: this.lateness,
+      catalog,
+      servingOrder: () => order.places(),
+      mayAct: () => this.mayAct(),
+      proofMs: this.proofMs,
+      machinePages,
+      progressPages,
+      sendToSibling: deps.sendToSibling,
+      onOwnersChanged: () => this.wakeReports(),
+    });
+    this.reach = new Reach({ http, signal, random, membership, machinePages });
+    this.siblings = new SiblingCalls({
+      clock,
+      log,
+      signal,
+      sendToSibling: deps.sendToSibling,
+      connectedSiblings: deps.connectedSiblings,
+      here: (op, body) => this.jobs.here(op, body),
+    });
   }
 
   /** Runs until the signal is aborted. */
@@ -194,9 +208,9 @@
       this.replica.run(signal),
       this.membership.run(signal),
       routine('parts', OWNERSHIP_TICK_MS, duty, () => this.tickParts()),
-      routine('renting', RENT_TICK_MS, duty, () => this.owned.forEach((o) => o.renting.tick())),
-      routine('machine list', LIST_MS, duty, () => this.readMachines()),
-      routine('reach', REACH_MS, duty, () => this.tryReach()),
+      routine('renting', RENT_TICK_MS, duty, () => this.owned.tickRenting()),
+      routine('machine list', LIST_MS, duty, () => this.owned.readMachines()),
+      routine('reach', REACH_MS, duty, () => this.reach.tryReach()),
       this.keepCatalog(),
       routine('limits', QUOTA_SHIFT_MS, duty, () => this.limitShifts.shiftAll()),
     ]);
@@ -212,12 +226,12 @@
       case 'part':
         this.membership.onPart(change.part, change.record);
         // While loading, the part's machines and slices are still to come.
-        if (this.loaded) this.checkOwned(change.part);
+        if (this.loaded) this.owned.check(change.part);
         return;
       case 'machines':
-        return keep(this.machines, change.part, change.key, change.record, version);
+        return this.machinePages.keep(change.part, change.key, change.record, version);
       case 'progress':
-        keep(this.progressPages, change.part, change.key, change.record, version);
+        this.progressPages.keep(change.part, change.key, change.record, version);
         this.openJobs.setProgress(change.key, change.record, this.deps.clock.now());
         if (this.loaded) void this.jobEnds.endAll();
         return;
@@ -225,21 +239,21 @@
         const { id, record } = change;
         if (record) {
           const job = this.openJobs.set(id, record, version, this.deps.clock.now());
-          for (const [name, { part }] of this.owned) {
-            for (const given of this.openJobs.given(job, name)) part.addSlice(given);
+          for (const part of this.owned.all()) {
+            for (const given of this.openJobs.given(job, part.name)) part.addSlice(given);
           }
           return;
         }
         const job = this.openJobs.remove(id);
         if (!job) return;
-        for (const [name, { part }] of this.owned) {
-          for (const given of this.openJobs.given(job, name)) part.dropSlice(given.name);
+        for (const part of this.owned.all()) {
+          for (const given of this.openJobs.given(job, part.name)) part.dropSlice(given.name);
         }
         return;
       }
       case 'quota':
         this.limits.set(change.team, change.record);
-        this.owned.forEach((o) => o.part.schedulePlacing());
+        this.owned.all().forEach((part) => part.schedulePlacing());
     }
   }
 
@@ -247,84 +261,10 @@
     if (this.loaded) return;
     this.loaded = true;
     this.membership.onCaughtUp();
-    for (const part of this.parts.names) this.checkOwned(part);
+    for (const part of this.parts.names) this.owned.check(part);
     this.deps.log.info({ jobs: this.openJobs.jobs.size }, 'records read');
   }
 
-  /** Starts or ends this node's ownership of the part, as the replica shows it at this very revision. */
-  private checkOwned(name: string): void {
-    const record = this.membership.owner(name);
-    const mine = record !== null && this.membership.isSelf(record);
-    const current = this.owned.get(name);
-    if (current && (!mine || current.part.token !== record.token)) {
-      current.abort.abort();
-      this.owned.delete(name);
-      // Told only now that nothing more is started here; a later owner than the next could not rely on it.
-      if (record && !mine && record.token === current.part.token + 1) {
-        const free = current.part.freeTasks();
-        this.deps.sendToSibling(record.owner, { kind: 'handover', part: name, token: record.token, free });
-      }
-      this.cloud.setShare(this.owned.size / this.parts.names.length);
-      this.deps.log.info({ part: name, to: record?.owner ?? null }, 'part given up');
-    }
-    this.wakeReports();
-    if (!mine || this.owned.has(name)) return;
-    const { settings, clock, random, log, http } = this.deps;
-    const abort = endless();
-    const ends = AbortSignal.any([this.deps.signal, abort.signal]);
-    setMaxListeners(0, ends); // every open call of the part listens
-    const slices = [...this.openJobs.jobs.values()].flatMap((job) => this.openJobs.given(job, name));
-    const pages = <T>(of: Map<string, KnownPages<T>>): [string, T, Int][] =>
-      [...(of.get(name) ?? [])].map(([key, { record, version }]) => [key, record, version]);
-    const part = new Part(
-      name,
-      record.token,
-      {
-        settings,
-        clock,
-        wallClock: this.deps.wallClock,
-        random,
-        log,
-        http,
-        store: this.store,
-        replica: this.replica,
-        limits: this.limits,
-        typeOf: (type) => this.types?.find((t) => t.name === type) ?? null,
-        servingOrder: () => this.servingOrder(),
-        mayAct: () => this.mayAct(),
-        lateSince: (at) => this.lateness.since(at),
-        takeFence: () => this.fences-- > 0,
-        proofMs: this.proofMs,
-        onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
-      },
-      ends,
-      {
-        machines: pages(this.machines),
-        progress: pages(this.progressPages),
-        slices,
-      },
-    );
-    const renting = new Renting(part, this.parts.zoneOf(name), {
-      settings,
-      clock,
-      log,
-      cloud: this.cloud,
-      catalog: () => this.types,
-      onUnreachable: () => this.membership.setReach(name, false),
-      reachedByNone: () => this.membership.reachedByNone(name),
-      belongs: (id) => this.parts.partOf({ id, zone: this.parts.zoneOf(name) }) === name,
-    });
-    this.owned.set(name, { part, renting, abort, told: { idle: false, average: -1, at: -Infinity } });
-    log.info(
-      { part: name, token: record.token, machines: part.machines.size, slices: slices.length },
-      'part owned',
-    );
-    const handover = this.handovers.get(name);
-    if (handover) part.takeOver(handover);
-    part.tick();
-    this.cloud.setShare(this.owned.size / this.parts.names.length);
-  }
-
   private wakeReports(): void {
     // After this turn: a part that begins now is there by then.
     const { owners } = this;
@@ -359,33 +299,6 @@
     return { left, running };
   }
 
-  /** Jobs by the place in which their waits are served, reckoned from what every owner follows. */
-  private servingOrder(): Map<string, number> {
-    const now = this.deps.clock.now();
-    if (now - this.order.at < ORDER_MS) return this.order.jobs;
-    const jobs = [...this.openJobs.jobs.values()].map((job): Planned => {
-      const { spec, at } = job.record;
-      return { spec, at, left: job.left / spec.tasks, tasks: job.left, guaranteed: false };
-    });
-    // A job is guaranteed if it fits into its team's guarantee with the team's earlier unfinished jobs.
-    const sums = new Map<string, { cores: number; accelerators: number }>();
-    for (const job of [...jobs].sort((a, b) => a.at - b.at)) {
-      const { team, cores, accelerators } = job.spec;
-      const sum = sums.get(team) ?? { cores: 0, accelerators: 0 };
-      sums.set(team, sum);
-      sum.cores += job.tasks * cores;
-      sum.accelerators += job.tasks * accelerators;
-      const guarantee = this.limits.guarantee(team);
-      job.guaranteed =
-        sum.cores <= guarantee.cores && (accelerators === 0 || sum.accelerators <= guarantee.accelerators);
-    }
-    // What is coming up counts: the waits reckoned with are served by it too.
-    const cores = this.averages.all().reduce((sum, part) => sum + part.cores + part.coming, 0);
-    const order = servingOrder(jobs, cores, this.deps.wallClock(), this.deps.settings);
-    this.order = { at: now, jobs: order };
-    return order;
-  }
-
   // --- workers ---
 
   async report(report: Report): Promise<ReportAnswer> {
@@ -413,7 +326,7 @@
   // --- siblings ---
 
   onConnect(): void {
-    for (const owned of this.owned.values()) owned.told.at = -Infinity;
+    this.owned.onConnect();
   }
 
   onMessage(from: string, raw: unknown): void {
@@ -422,89 +335,21 @@
       case 'part':
         return this.averages.set(message, false);
       case 'handover':
-        // It may be here before the record that makes this node the owner.
-        this.handovers.set(message.part, message);
-        return this.owned.get(message.part)?.part.takeOver(message);
+        return this.owned.onHandover(message);
       case 'ask':
-        return void this.answerSibling(from, message);
-      case 'answer': {
-        const status = message.status as UserAnswer['status'];
-        const answer = message.status === 0 ? null : { status, body: parseJson(message.body) as object };
-        this.asked.get(message.id)?.(answer);
-        return;
-      }
+        return void this.siblings.answer(from, message);
+      case 'answer':
+        return this.siblings.onAnswer(message);
       case undefined:
         this.deps.log.debug({ from }, 'unknown message');
     }
   }
 
-  private async answerSibling(from: string, ask: Extract<MeshMessage, { kind: 'ask' }>): Promise<void> {
-    const answer = await this.jobs
-      .here(ask.op, parseJson(ask.body) as JobSpec | string)
-      .catch(
-        (error: unknown) => (this.deps.log.error({ err: String(error) }, 'passed-on request failed'), null),
-      );
-    const body = answer ? stringifyJson(answer.body) : '';
-    this.deps.sendToSibling(from, { kind: 'answer', id: ask.id, status: answer?.status ?? 0, body });
-  }
-
-  private passOn(op: UserOp, body: JobSpec | string): Promise<UserAnswer | null> {
-    const peers = this.deps.connectedSiblings();
-    if (peers.length === 0) return Promise.resolve(null);
-    const id = ++this.asks;
-    return new Promise((resolve) => {
-      let open = peers.length;
-      const settle = (answer: UserAnswer | null): void => {
-        if (answer === null && --open > 0) return;
-        this.asked.delete(id);
-        resolve(answer);
-      };
-      this.asked.set(id, settle);
-      for (const peer of peers) {
-        if (!this.deps.sendToSibling(peer, { kind: 'ask', id, op, body: stringifyJson(body) })) settle(null);
-      }
-      void this.deps.clock.sleep(FORWARD_DEADLINE_MS, this.deps.signal).then(() => {
-        open = 0;
-        settle(null);
-      });
-    });
-  }
-
-  private tell(name: string, owned: Owned): void {
-    const now = this.deps.clock.now();
-    const { part, told } = owned;
-    const summary = part.summary();
-    const idle = part.idleCount;
-    const due = now - told.at >= MESH_BEAT_MS;
-    // The design's events: the last idle machine comes or goes, or the average moves a set step.
-    if (!due && idle > 0 === told.idle && Math.abs(summary.average - told.average) < AVERAGE_STEP) return;
-    owned.told = { idle: idle > 0, average: summary.average, at: now };
-    const message: PartMessage = {
-      kind: 'part',
-      part: name,
-      token: part.token,
-      idle,
-      wants: Object.fromEntries(part.usage.wants),
-      running: part.running(),
-      coming: owned.renting.coming(now),
-      ...summary,
-    };
-    this.averages.set(message, true);
-    for (const sibling of this.deps.settings.siblings) this.deps.sendToSibling(sibling.name, message);
-  }
-
   // --- duties ---
 
   private tickParts(): void {
     if (this.loaded) void this.jobEnds.endAll();
-    // A node that is late first serves what reaches it: most machines report by themselves.
-    const inTime = !this.lateness.since(this.deps.clock.now() - IN_TIME_MS);
-    const perTick = (FENCES_PER_CPU_S * this.deps.settings.cores * OWNERSHIP_TICK_MS) / 1000;
-    this.fences = inTime ? Math.ceil(perTick) : 0;
-    for (const [name, owned] of this.owned) {
-      owned.part.tick();
-      this.tell(name, owned);
-    }
+    this.owned.tick();
   }
 
   private async keepCatalog(): Promise<void> {
@@ -519,68 +364,8 @@
     }
   }
 
-  /** A part that this node could not reach is tried again, so that it can be given to it. */
-  private async tryReach(): Promise<void> {
-    for (const part of this.membership.unreached) {
-      const pages = [...(this.machines.get(part)?.values() ?? [])];
-      const machines = pages.flatMap((page) => Object.values(page.record.machines));
-      const tried: Promise<boolean>[] = [];
-      while (tried.length < REACH_TRIES && machines.length > 0) {
-        const [machine] = machines.splice(this.deps.random.below(machines.length), 1);
-        if (machine) tried.push(this.answers(machine.endpoint));
-      }
-      const answered = await Promise.all(tried);
-      if (tried.length === 0 || answered.includes(true)) this.membership.setReach(part, true);
-    }
-  }
-
-  private async answers(endpoint: string): Promise<boolean> {
-    const { http, signal } = this.deps;
-    const call = { address: endpoint, method: 'GET' as const, path: workerPaths.inspect, signal };
-    return http({ ...call, deadlineMs: COMMAND_DEADLINE_MS }).then(
-      (answer) => answer.status === 200,
-      () => false,
-    );
-  }
-
-  private async readMachines(): Promise<void> {
-    if (this.owned.size === 0) return;
-    const readAt = this.deps.clock.now();
-    const machines = await this.cloud.list().catch((error: unknown) => {
-      this.deps.log.debug({ err: String(error) }, 'machine list not read');
-      return null;
-    });
-    if (!machines) return;
-    for (const [name, owned] of this.owned) {
-      owned.renting.onList(
-        machines.filter((m) => this.parts.partOf(m) === name),
-        readAt,
-      );
-    }
-  }
-
   /** For tests and logs. */
   get ownedParts(): string[] {
-    return [...this.owned.keys()];
+    return [...this.owned.owned.keys()];
   }
 }
-
-/** A controller whose signal any number of calls may listen to. */
-function endless(): AbortController {
-  const abort = new AbortController();
-  setMaxListeners(0, abort.signal);
-  return abort;
-}
-
-function keep<T>(
-  pages: Map<string, KnownPages<T>>,
-  part: string,
-  key: string,
-  record: T | null,
-  version: Int,
-): void {
-  const known: KnownPages<T> = pages.get(part) ?? new Map();
-  pages.set(part, known);
-  if (record) known.set(key, { record, version });
-  else known.delete(key);
-}
