Waiting tasks move to a part with room, exactly once

Change: an owner gives tasks that found no room for 2 s to a part that reports idle machines for them, or for 20 s to one that has any, by one transaction on the job's record (design.md, Moves: argument, ways weighed). The end of a job is conditioned on that record alone.

--- a/packages/emulator/src/state-service.ts
+++ b/packages/emulator/src/state-service.ts
@@ -33,6 +33,12 @@
   wake: () => void;
 }
 
+/** When a transaction is applied, in milliseconds (null: never), and whether its sender is answered. */
+export interface Fate {
+  appliedAfterMs: number | null;
+  answered: boolean;
+}
+
 const unavailable: Reply = { status: 503, body: '{}' };
 const tooMany: Reply = { status: 429, body: '{}' };
 const malformed: Reply = { status: 400, body: '{"error":"malformed"}' };
@@ -51,6 +57,8 @@
   private readonly changes: Bucket;
   /** Share of transactions that get no answer and are applied later, or not seen to be. */
   lateShare = 0;
+  /** What becomes of a transaction that writes these keys, for stories of one transaction; null: nothing special. */
+  fate: ((keys: string[], from: Host) => Fate | null) | null = null;
   /** Calls refused because a limit was passed, and all calls and changes taken. */
   readonly counts = { refused: 0, requests: 0, changes: 0 };
 
@@ -105,7 +113,7 @@
     if (this.away(request.from)) return unavailable;
     const url = new URL(request.path, 'http://state');
     const { pathname, searchParams } = url;
-    if (request.method === 'POST' && pathname === '/txn') return this.onTxn(request.body);
+    if (request.method === 'POST' && pathname === '/txn') return this.onTxn(request);
     if (request.method === 'POST' && pathname === '/grants') return this.grant(request);
     const grant = /^\/grants\/(\d+)(\/extend)?$/.exec(pathname);
     if (grant) return this.onGrant(request.method, Number(grant[1]), grant[2] !== undefined);
@@ -126,7 +134,7 @@
 
   // --- transactions ---
 
-  private async onTxn(body: string): Promise<Reply | undefined> {
+  private async onTxn({ body, from }: Request): Promise<Reply | undefined> {
     const txn = readTxn(body);
     const { valueKb, txnOps } = this.limits;
     if (!txn || Buffer.byteLength(body) > TXN_BYTES || txn.writes.length > txnOps) return malformed;
@@ -138,6 +146,15 @@
     }
     if (txn.writes.length > 0 && !this.changes.take(txn.writes.length)) return this.refuse();
     this.counts.changes += txn.writes.length;
+    const fate = this.fate?.(
+      txn.writes.map((write) => write.key),
+      from,
+    );
+    if (fate) {
+      await this.time.sleep(fate.appliedAfterMs ?? 0);
+      const reply = fate.appliedAfterMs === null || this.outage ? undefined : this.apply(txn);
+      return fate.answered ? reply : undefined;
+    }
     if (this.lateShare > 0 && this.random.below(1000) < this.lateShare * 1000) {
       await this.time.sleep(this.random.below(STATE_LATE_MS));
       if (!this.outage) this.apply(txn);
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -146,4 +146,11 @@
     put: 'if (left) continue;',
     size: 'strangers',
   },
+  {
+    name: 'a move without an answer taken for refused',
+    file: 'coordination/moves.ts',
+    find: "if (time === 'again' || !(error instanceof StateRefused)) {",
+    put: "if (time === 'again') {",
+    size: 'strangers',
+  },
 ];
--- /dev/null
+++ b/packages/emulator/test/world.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import type { JobSpec } from '@onyxkeel/scheduler';
+import { Cluster, type Deployment } from '../src/cluster.ts';
+import { newWork, type Work } from '../src/workload.ts';
+
+const small = {
+  name: 'small',
+  cores: 8,
+  ramGb: 32,
+  localGb: 20,
+  pullGbPerS: 1,
+  price: 0.4,
+  spotPrice: 0.1,
+  bootS: 12,
+};
+const large = { ...small, name: 'large', cores: 16, ramGb: 128, price: 0.8, spotPrice: 0.2 };
+
+export const plainJob: JobSpec = {
+  id: 'j-1',
+  class: 'short',
+  team: 'red',
+  kind: 'batch',
+  priority: 2,
+  tasks: 4,
+  cores: 2,
+  accelerators: 0,
+  ramGb: 4,
+  image: 'img-1',
+  imageGb: 0.5,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  estimateS: 5,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+
+/** A deployment on the emulator in which a story is told: by default one zone, two controllers, four machines. */
+export class World extends Cluster {
+  constructor(more: Partial<Deployment> = {}) {
+    const zones = more.zones ?? ['a'];
+    const nodes = more.nodes ?? ['a', 'a'];
+    const types = [small, large];
+    super(
+      {
+        zones,
+        nodes,
+        types,
+        // What is up at the start is all there is, so that no rental helps a story out.
+        capacity: [],
+        initial: zones.map((zone) => ({ type: 'small', zone, spot: false, count: 4 })),
+        teams: [{ name: 'red', cores: 8, maxCores: 0 }],
+        objectives: [{ class: 'short', withinS: 60 }],
+        reportS: 2.5,
+        leaseS: 16,
+        cancelS: 36,
+        state: { rps: 250, writeRps: 90, valueKb: 32, txnOps: 12 },
+        cloud: { rps: 8, listLagS: 5 },
+        clockOffMs: 0,
+        ...more,
+      },
+      { seed: 1 },
+    );
+  }
+
+  /** Starts all controllers and waits until they serve. */
+  async begin(seconds = 15): Promise<void> {
+    this.deployment.nodes.forEach((_, node) => this.start(node));
+    await this.run(seconds);
+  }
+
+  run(seconds: number): Promise<void> {
+    return this.time.runUntil(this.time.now + seconds * 1000);
+  }
+
+  /** Runs until that holds; fails the story if it does not within that time. */
+  async until(what: string, holds: () => boolean, seconds: number, stepMs = 100): Promise<void> {
+    const end = this.time.now + seconds * 1000;
+    while (!holds() && this.time.now < end) await this.time.runUntil(this.time.now + stepMs);
+    assert.ok(holds(), `${what} within ${String(seconds)} s`);
+  }
+
+  /** A user submits the job now and polls it to its end. */
+  submit(spec: Partial<JobSpec>, runS = 5): Work {
+    const work = newWork({ ...plainJob, ...spec }, () => runS, false);
+    this.workload.set(work.spec.id, work);
+    this.users.begin(work, { atS: this.time.now / 1000, cancelAtS: null, againAtS: null });
+    return work;
+  }
+
+  /** The job's open record in the state service: what each part was given of it. */
+  slicesOf(job: string): { part: string; from: number; count: number }[] {
+    const record = this.state.read(`live/job/${job}`) as
+      { slices: { part: string; from: number; count: number }[] } | undefined;
+    return record?.slices ?? [];
+  }
+
+  ownerOf(part: string): number {
+    return this.deployment.nodes.findIndex((_, node) => this.owned(node).includes(part));
+  }
+
+  /** All that was accepted is done, and no rule was broken on the way. */
+  assertAllDone(): void {
+    assert.deepEqual(this.judge.violations, []);
+    for (const { spec } of this.workload.values())
+      assert.equal(this.judge.finalState(spec.id), 'done', spec.id);
+  }
+}
--- a/packages/scheduler/src/bookkeeping/machines.ts
+++ b/packages/scheduler/src/bookkeeping/machines.ts
@@ -86,6 +86,9 @@
   pausedUntil: number;
 }
 
+/** What rules and sizes allow on one machine of a kind they allow on all of it. */
+export const machineKind = (type: string, spot: boolean): string => `${spot ? 'spot' : 'ordinary'}/${type}`;
+
 export function newMachine(id: string, record: MachineRecord, now: number): Machine {
   return {
     id,
--- a/packages/scheduler/src/bookkeeping/slices.ts
+++ b/packages/scheduler/src/bookkeeping/slices.ts
@@ -18,7 +18,6 @@
 export class Slice {
   readonly spec: JobSpec;
   readonly from: number;
-  readonly count: number;
   readonly at: number;
   /** Positions that wait for a machine; taken from the end. */
   readonly waiting: number[] = [];
@@ -26,18 +25,23 @@
   readonly held = new Set<number>();
   /** Positions on a machine, by the key of their attempt. */
   readonly placed = new Map<number, string>();
-  readonly settled: TaskSet;
+  settled: TaskSet;
   /** What the state service has of `settled`. */
   recorded: TaskSet;
   withdrawn = false;
   failures = 0;
+  /** Since when rounds of placing find no room for what waits; infinite while they do, or for want of a limit. */
+  crowdedSince = Infinity;
+  /** How many tasks at the end are being given to another part: neither waiting nor anything else until that is decided. */
+  moving = 0;
+  private tasks: number;
   readonly name: string;
 
   constructor(given: GivenSlice, held: boolean) {
     this.name = given.name;
     this.spec = given.spec;
     this.from = given.from;
-    this.count = given.count;
+    this.tasks = given.count;
     this.at = given.at;
     this.settled = new TaskSet(given.count, given.settled);
     this.recorded = new TaskSet(given.count, given.settled);
@@ -48,6 +52,38 @@
     }
   }
 
+  /** How many tasks the slice has; fewer once some have moved to another part. */
+  get count(): number {
+    return this.tasks;
+  }
+
+  /** How many tasks at the slice's end all wait. */
+  get movable(): number {
+    const waiting = new Set(this.waiting);
+    let tasks = 0;
+    while (waiting.has(this.count - 1 - tasks)) tasks++;
+    return tasks;
+  }
+
+  /** Takes as many tasks at the end out of the waits, so that nothing starts them while a move is under way. */
+  beginMove(tasks: number): void {
+    const kept = this.waiting.filter((position) => position < this.count - tasks);
+    this.waiting.splice(0, this.waiting.length, ...kept);
+    this.moving = tasks;
+  }
+
+  /** The move is decided: the slice has so many tasks now. Those not gone wait again, to be taken last. */
+  endMove(count: number): void {
+    const stayed = this.count === count ? this.moving : 0;
+    const back = Array.from({ length: stayed }, (_, i) => count - 1 - i);
+    this.waiting.unshift(...back);
+    this.moving = 0;
+    if (this.count === count) return;
+    this.tasks = count;
+    this.settled = new TaskSet(count, this.settled.encode());
+    this.recorded = new TaskSet(count, this.recorded.encode());
+  }
+
   /** The share of the slice's tasks that still waits. */
   get left(): number {
     return this.waiting.length / this.count;
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -230,6 +230,16 @@
 /** Milliseconds between two rounds of placing at least; what happens in between is placed together. */
 export const PLACE_GAP_MS = 20;
 
+// --- moves ---
+/** Milliseconds between looks at which waiting tasks another part has room for; one move each, as each is a change. */
+export const MOVE_MS = 1000;
+/** Milliseconds for which tasks must have found no room before they move to idle machines: most waits end sooner. */
+export const MOVE_AFTER_MS = 2000;
+/** Milliseconds after which tasks leave a part without any machine for them: most boots come up sooner. */
+export const MOVE_LONE_MS = 20_000;
+/** Slices of a job up to which its tasks move: the job's record stays well below a value's limit. */
+export const SLICES_MOST = 48;
+
 // --- waiting order ---
 /** Milliseconds for which the order of the waits is kept before it is reckoned again. */
 export const ORDER_MS = 300;
--- a/packages/scheduler/src/coordination/averages.ts
+++ b/packages/scheduler/src/coordination/averages.ts
@@ -23,6 +23,13 @@
     return this.parts.get(part) ?? null;
   }
 
+  /** What the part's owner told last, if that is new enough to believe, and since when it is known. */
+  fresh(part: string): { message: PartMessage; at: number } | null {
+    const known = this.parts.get(part);
+    if (!known || this.clock.now() - known.at > SILENT_PART_MS) return null;
+    return { message: known, at: known.at };
+  }
+
   all(): PartMessage[] {
     return [...this.parts.values()];
   }
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -4,6 +4,7 @@
   CLOUD_DEADLINE_MS,
   LEASE_MARGIN_MS,
   LIST_MS,
+  MOVE_MS,
   OWNERSHIP_TICK_MS,
   QUOTA_SHIFT_MS,
   REACH_MS,
@@ -37,6 +38,7 @@
 import { Limits } from './limits.ts';
 import { LimitShifts } from './limit-shifts.ts';
 import { Membership } from './membership.ts';
+import { Moves } from './moves.ts';
 import { endless, OwnedParts } from './owned-parts.ts';
 import { partMap, type PartMap } from './parts.ts';
 import { Reach } from './reach.ts';
@@ -71,6 +73,7 @@
   private readonly owned: OwnedParts;
   private readonly reach: Reach;
   private readonly siblings: SiblingCalls;
+  private readonly moves: Moves;
   private readonly openJobs = new OpenJobs();
   private readonly machinePages = new KnownPages<MachinesRecord>();
   private readonly progressPages = new KnownPages<ProgressRecord>();
@@ -189,6 +192,18 @@
       onOwnersChanged: () => this.wakeReports(),
     });
     this.reach = new Reach({ http, signal, random, membership, machinePages });
+    this.moves = new Moves({
+      clock,
+      random,
+      log,
+      store,
+      replica,
+      averages,
+      parts: this.parts,
+      catalog,
+      record: (job) => openJobs.jobs.get(job)?.record ?? null,
+      owned: () => this.owned.all(),
+    });
     this.siblings = new SiblingCalls({
       clock,
       log,
@@ -213,6 +228,7 @@
       routine('reach', REACH_MS, duty, () => this.reach.tryReach()),
       this.keepCatalog(),
       routine('limits', QUOTA_SHIFT_MS, duty, () => this.limitShifts.shiftAll()),
+      routine('moves', MOVE_MS, duty, () => this.moves.moveOne()),
     ]);
   }
 
@@ -240,7 +256,7 @@
         if (record) {
           const job = this.openJobs.set(id, record, version, this.deps.clock.now());
           for (const part of this.owned.all()) {
-            for (const given of this.openJobs.given(job, part.name)) part.addSlice(given);
+            for (const given of this.openJobs.given(job, part.name)) part.setSlice(given);
           }
           return;
         }
--- a/packages/scheduler/src/coordination/job-ends.ts
+++ b/packages/scheduler/src/coordination/job-ends.ts
@@ -47,12 +47,9 @@
     const { tasks, class: of, estimateS } = record.spec;
     const value: JobRecord = { status: 'done', tasks };
     try {
-      // Both records were written by the acceptance and have its version until the job is over.
+      // A withdrawal removes the open record, so this commits only for a job that is open.
       const result = await this.context.store.txn(
-        [
-          { key: jobKey(id), version },
-          { key: openJobKey(id), version },
-        ],
+        [{ key: openJobKey(id), version }],
         [
           { op: 'put', key: jobKey(id), value },
           { op: 'delete', key: openJobKey(id) },
--- /dev/null
+++ b/packages/scheduler/src/coordination/moves.ts
@@ -0,0 +1,176 @@
+import { CONTACT_STALE_MS, MOVE_AFTER_MS, MOVE_LONE_MS, SLICES_MOST } from '../constants.ts';
+import { fits, machineKind } from '../bookkeeping/machines.ts';
+import { type OpenJobRecord, openJobKey, sliceName, type SliceRange } from '../bookkeeping/records.ts';
+import type { Slice } from '../bookkeeping/slices.ts';
+import type { Replica, Store } from '../bookkeeping/store.ts';
+import type { MachineType } from '../protocol/cloud.ts';
+import type { PartMessage } from '../protocol/mesh.ts';
+import { type Condition, StateRefused } from '../protocol/state.ts';
+import type { JobSpec } from '../protocol/users.ts';
+import type { Clock } from '../transport/clock.ts';
+import type { Random } from '../transport/random.ts';
+import type { Log } from '../transport/routine.ts';
+import type { Averages } from './averages.ts';
+import type { Part } from './part.ts';
+import type { PartMap } from './parts.ts';
+import { allows } from './placement.ts';
+
+interface Sent {
+  part: Part;
+  slice: Slice;
+  conditions: Condition[];
+  value: OpenJobRecord;
+}
+
+/**
+ * Gives waiting tasks that find no room to a part that has some: the design's choice once more, for what was given to
+ * a part that turned out to have no place for it. Why nothing runs twice by it: docs/design.md, "Moves".
+ */
+export class Moves {
+  /** Moves whose answer was lost, one at the most for each slice. */
+  private readonly unknown = new Map<Slice, Sent>();
+  /** When tasks were last given to a part from here: its next message takes them into account. */
+  private readonly givenAt = new Map<string, number>();
+
+  constructor(
+    private readonly context: {
+      clock: Clock;
+      random: Random;
+      log: Log;
+      store: Store;
+      replica: Replica;
+      averages: Averages;
+      parts: PartMap;
+      catalog: () => MachineType[] | null;
+      /** The job's record as the replica has it. */
+      record: (job: string) => OpenJobRecord | null;
+      /** The parts that this node owns. */
+      owned: () => Part[];
+    },
+  ) {}
+
+  /** Makes the move that has been waited for longest, if any is due. */
+  async moveOne(): Promise<void> {
+    await this.repeatUnknown();
+    if (this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS) return;
+    const crowded = this.context.owned().flatMap((part) =>
+      [...part.slices.values()]
+        .filter((slice) => slice.waiting.length > 0 && slice.moving === 0)
+        .filter((slice) => this.context.clock.now() - slice.crowdedSince >= MOVE_AFTER_MS)
+        .map((slice) => ({ part, slice })),
+    );
+    crowded.sort((a, b) => a.slice.crowdedSince - b.slice.crowdedSince);
+    for (const { part, slice } of crowded) {
+      const movable = slice.movable;
+      const target = movable > 0 ? this.choose(part, slice, movable) : null;
+      if (target) return this.move(part, slice, target.part, target.tasks);
+    }
+  }
+
+  /** A part with idle machines for the tasks; or any with machines for them, if this one has had none for long. */
+  private choose(part: Part, slice: Slice, movable: number): { part: string; tasks: number } | null {
+    const { averages, clock, random } = this.context;
+    const others = this.candidates(part, slice.spec);
+    const idle = new Map(others.map((o) => [o.part, this.taken(slice.spec, o, 'idle')]));
+    const withIdle = others.filter((o) => (idle.get(o.part) ?? 0) > 0).map((o) => o.part);
+    if (withIdle.length > 0) {
+      const to = averages.choose(withIdle, random);
+      return { part: to, tasks: Math.min(movable, idle.get(to) ?? 0) };
+    }
+    const own = averages.fresh(part.name)?.message;
+    if (!own || this.taken(slice.spec, own, 'open') > 0) return null;
+    if (clock.now() - slice.crowdedSince < MOVE_LONE_MS) return null;
+    const able = others.filter((o) => this.taken(slice.spec, o, 'open') > 0).map((o) => o.part);
+    if (able.length === 0) return null;
+    // By halves: what the next message of that part shows decides about the rest.
+    return { part: averages.choose(able, random), tasks: Math.ceil(movable / 2) };
+  }
+
+  /** Parts heard since they were last given tasks from here, where the job's rules let the task go. */
+  private candidates(part: Part, spec: JobSpec): PartMessage[] {
+    const { averages, parts } = this.context;
+    const home = parts.zoneOf(part.name);
+    // The rule speaks of the zones of the job's other tasks: within the zone it holds as it did.
+    const bound = spec.oneZone || spec.spread;
+    return parts.names.flatMap((name) => {
+      if (name === part.name || (bound && parts.zoneOf(name) !== home)) return [];
+      const fresh = averages.fresh(name);
+      return fresh && fresh.at > (this.givenAt.get(name) ?? -Infinity) ? [fresh.message] : [];
+    });
+  }
+
+  /** How many of the job's tasks the part's machines take that are idle, or that may take any at all. */
+  private taken(spec: JobSpec, message: PartMessage, which: 'idle' | 'open'): number {
+    const zone = this.context.parts.zoneOf(message.part);
+    let tasks = 0;
+    for (const type of this.context.catalog() ?? []) {
+      for (const spot of [false, true]) {
+        const machines = message.kinds[machineKind(type.name, spot)]?.[which] ?? 0;
+        if (machines === 0 || !fits(spec, type) || !allows(spec, { typeName: type.name, zone, spot }))
+          continue;
+        tasks += machines * tasksOn(spec, type);
+      }
+    }
+    return tasks;
+  }
+
+  private async move(part: Part, slice: Slice, to: string, tasks: number): Promise<void> {
+    const job = slice.spec.id;
+    const record = this.context.record(job);
+    const key = openJobKey(job);
+    const version = this.context.replica.version(key);
+    if (!record || record.slices.length >= SLICES_MOST) return;
+    const own = record.slices.findIndex((s, index) => sliceName(s.part, job, index) === slice.name);
+    const slices: SliceRange[] = record.slices.map((s, index) =>
+      index === own ? { ...s, count: slice.count - tasks } : s,
+    );
+    slices.push({ part: to, from: slice.index(slice.count - tasks), count: tasks });
+    const conditions = [part.records.ownership(), { key, version }];
+    slice.beginMove(tasks);
+    this.givenAt.set(to, this.context.clock.now());
+    const result = await this.send({ part, slice, conditions, value: { ...record, slices } }, 'first');
+    this.context.log.info({ job, from: part.name, to, tasks, result }, 'waiting tasks moved');
+  }
+
+  /** Sends the move, once more where an answer was lost. What became of it the replica tells, except for a refusal. */
+  private async send(sent: Sent, time: 'first' | 'again'): Promise<'committed' | 'refused' | 'unknown'> {
+    const { part, slice, conditions, value } = sent;
+    try {
+      const key = openJobKey(slice.spec.id);
+      const result = await this.context.store.txn(conditions, [{ op: 'put', key, value }], 'work');
+      this.unknown.delete(slice);
+      if (result.kind === 'committed') return 'committed';
+    } catch (error) {
+      if (time === 'again' || !(error instanceof StateRefused)) {
+        this.unknown.set(slice, sent);
+        return 'unknown';
+      }
+    }
+    // The first one was refused: nothing was carried out and nothing will be. Of a later one that proves nothing, as
+    // the one before may be what it ran into.
+    if (time === 'first') {
+      slice.endMove(slice.count);
+      part.schedulePlacing();
+    }
+    return 'refused';
+  }
+
+  /** A move that never arrived would keep its tasks from everybody: it is sent again until one of them is answered. */
+  private async repeatUnknown(): Promise<void> {
+    for (const [slice, sent] of this.unknown) {
+      if (!sent.part.active || slice.withdrawn || slice.moving === 0) this.unknown.delete(slice);
+      else await this.send(sent, 'again');
+    }
+  }
+}
+
+/** How many tasks an empty machine of the type takes. */
+function tasksOn(spec: JobSpec, type: MachineType): number {
+  const times = (whole: number, each: number): number =>
+    each <= 0 ? Infinity : Math.floor(whole / each + 1e-6);
+  return Math.min(
+    times(type.cores, spec.cores),
+    times(type.accelerators, spec.accelerators),
+    times(type.ramGb, spec.ramGb),
+  );
+}
--- a/packages/scheduler/src/coordination/owned-parts.ts
+++ b/packages/scheduler/src/coordination/owned-parts.ts
@@ -189,6 +189,7 @@
       idle,
       wants: Object.fromEntries(part.usage.wants),
       running: part.running(),
+      kinds: part.kinds(),
       coming: owned.renting.coming(now),
       ...summary,
     };
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -51,7 +51,9 @@
     const now = context.clock.now();
     const { machines, slices } = this;
     const mayAct = (): boolean => this.mayAct();
-    for (const given of before.slices) slices.set(given.name, new Slice(given, true));
+    for (const given of before.slices) {
+      if (given.count > 0) slices.set(given.name, new Slice(given, true));
+    }
     this.suspects = new Suspects(slices, () => this.schedulePlacing());
     for (const [, record] of before.machines) {
       for (const [id, each] of Object.entries(record.machines)) {
@@ -140,9 +142,18 @@
 
   // --- what the replica shows ---
 
-  /** A job's slice, accepted since the takeover: no owner before can have launched any of it. */
-  addSlice(given: GivenSlice): void {
-    if (this.slices.has(given.name)) return;
+  /**
+   * A job's slice as its record now says. A new one was accepted, or moved here, since the takeover: no owner before
+   * can have launched any of it.
+   */
+  setSlice(given: GivenSlice): void {
+    const slice = this.slices.get(given.name);
+    if (given.count === 0) return this.dropSlice(given.name); // all of it has moved on
+    if (slice) {
+      // Only this owner shortens it: whatever else changed the record, a move sent against the old one has failed.
+      slice.endMove(given.count);
+      return this.schedulePlacing();
+    }
     this.slices.set(given.name, new Slice(given, false));
     this.placing.slicesChanged();
   }
@@ -309,6 +320,11 @@
     return count;
   }
 
+  /** Its machines that may take tasks, and the idle ones among them, by kind. */
+  kinds(): Record<string, { open: number; idle: number }> {
+    return this.placing.kinds();
+  }
+
   get idleCount(): number {
     return this.placing.idleCount;
   }
--- a/packages/scheduler/src/coordination/placing.ts
+++ b/packages/scheduler/src/coordination/placing.ts
@@ -1,5 +1,5 @@
 import { PLACE_GAP_MS, PREEMPT_SLACK_MS, SILENT_REPORTS } from '../constants.ts';
-import { type Machine, type Need, room } from '../bookkeeping/machines.ts';
+import { type Machine, machineKind, type Need, room } from '../bookkeeping/machines.ts';
 import type { Amounts } from '../bookkeeping/records.ts';
 import type { Slice } from '../bookkeeping/slices.ts';
 import type { PartContext } from './part-context.ts';
@@ -111,6 +111,18 @@
     return [...this.part.machines.values()].filter((m) => this.isOpen(m, now));
   }
 
+  /** The machines that may take tasks now, and the idle ones among them, by kind. */
+  kinds(): Record<string, { open: number; idle: number }> {
+    const kinds: Record<string, { open: number; idle: number }> = {};
+    const idle = new Set(this.idle);
+    for (const machine of this.open(this.context.clock.now())) {
+      const count = (kinds[machineKind(machine.typeName, machine.spot)] ??= { open: 0, idle: 0 });
+      count.open++;
+      if (idle.has(machine)) count.idle++;
+    }
+    return kinds;
+  }
+
   /** Slices with waiting tasks, in the order in which they are served. */
   private queue(): Slice[] {
     const order = this.context.servingOrder();
@@ -196,6 +208,9 @@
           sum.accelerators += spec.accelerators;
         }
       }
+      if (slice.waiting.length === 0 || (round !== 'one machine' && unplaced === 0))
+        slice.crowdedSince = Infinity;
+      else if (round !== 'one machine') slice.crowdedSince = Math.min(slice.crowdedSince, now);
       if (unplaced > 0 && round === 'preempting') {
         for (const machine of this.preempt(slice, unplaced, open, claimed, used)) touched.add(machine);
       }
--- a/packages/scheduler/src/coordination/suspects.ts
+++ b/packages/scheduler/src/coordination/suspects.ts
@@ -1,4 +1,4 @@
-import { fits, type Machine } from '../bookkeeping/machines.ts';
+import { fits, type Machine, machineKind } from '../bookkeeping/machines.ts';
 import type { Slice } from '../bookkeeping/slices.ts';
 import { allows } from './placement.ts';
 
@@ -7,7 +7,7 @@
  * because of them.
  */
 export class Suspects {
-  /** By kind: what rules and sizes allow on one machine of a kind they allow on all of it. */
+  /** By kind. */
   private readonly byKind = new Map<string, Set<Machine>>();
   /** Whether any slice still holds tasks that a machine not fenced yet may run. */
   holding: boolean;
@@ -21,7 +21,7 @@
 
   add(machine: Machine): void {
     machine.suspect = true;
-    const kind = `${machine.typeName}/${String(machine.spot)}`;
+    const kind = machineKind(machine.typeName, machine.spot);
     const alike = this.byKind.get(kind) ?? new Set();
     this.byKind.set(kind, alike.add(machine));
   }
--- a/packages/scheduler/src/protocol/mesh.ts
+++ b/packages/scheduler/src/protocol/mesh.ts
@@ -17,6 +17,8 @@
     coming: z.number(),
     /** Tasks on machines, by job, for display. */
     running: z.record(z.string(), z.number()),
+    /** The machines that may take tasks and the idle ones among them, by kind; a sibling of an older version tells none. */
+    kinds: z._default(z.record(z.string(), z.object({ open: z.number(), idle: z.number() })), {}),
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
     wants: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
   }),
--- a/packages/scheduler/test/units.test.ts
+++ b/packages/scheduler/test/units.test.ts
@@ -297,6 +297,7 @@
     cores: 16,
     coming: 0,
     running: {},
+    kinds: {},
     wants: {},
   });
 
