In an outage, polls of open jobs are answered where all nodes vouch for them

Change: a node without contact asks all siblings, one round for all polls that wait; if every node of the deployment knows the job as accepted and nothing of its end, it is told as open (design.md, Users: argument, ways weighed). Stories for that, for a node that is gone or back without having read anything, and for one that is cut off alone; and named stories of hard cases: packets held through two takeovers, a machine that hangs through two, share on its way as all controllers end, a controller that stands still after its transaction, an outage that ends during a cut.

--- /dev/null
+++ b/packages/emulator/test/recovery.test.ts
@@ -0,0 +1,183 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Host } from '../src/network.ts';
+import { HostClock } from '../src/time.ts';
+import { World } from './world.ts';
+
+/** Two zones with two controllers each; what the second zone's machines run is what the stories are about. */
+function twoZones(more: ConstructorParameters<typeof World>[0] = {}): World {
+  const zones = ['a', 'b'];
+  // A few machines that fall silent alone are lost; of a dozen, it is the network.
+  const initial = zones.map((zone) => ({ type: 'small', zone, spot: false, count: 12 }));
+  return new World({ zones, nodes: ['a', 'a', 'b', 'b'], initial, ...more });
+}
+
+const slow = { reportS: 5, leaseS: 31, cancelS: 61 };
+const inB = { zone: 'b', tasks: 24 };
+
+/** Cuts the zone's machines off from everybody outside the zone, and those in it from the rest. */
+const cutZone = (world: World, zone: string, mode: 'hold' | 'drop'): (() => void) =>
+  world.network.cut(mode, (x: Host, y: Host) => x.zone === zone && y.zone !== zone);
+
+/** The node that owns the part by the record. */
+const owner = (world: World, part: string): number =>
+  Number((world.state.read(`live/part/${part}`) as { owner: string }).owner.split('-')[1]);
+
+describe('recovery', () => {
+  it('after a takeover while the zone is cut, its packets held and delivered after the next takeover', async () => {
+    const world = twoZones(slow);
+    await world.begin();
+    world.submit(inB, 20);
+    await world.run(3);
+    const heal = cutZone(world, 'b', 'hold');
+    await world.until('taken over', () => owner(world, 'b.0') < 2, 25);
+    const second = owner(world, 'b.0');
+    world.end(second);
+    await world.until('taken over again', () => owner(world, 'b.0') !== second, 25);
+    heal();
+    world.start(second);
+    await world.run(150);
+    world.assertAllDone();
+  });
+
+  it('of a machine that hangs through two takeovers and goes on within its lease', async () => {
+    const world = twoZones({ ...slow, nodes: ['a', 'a', 'b'] });
+    await world.begin();
+    world.submit(inB, 60);
+    await world.until('running', () => world.judge.running('j-1').length === 24, 20);
+    const hung = [...world.workers.values()].find((w) => w.machine.zone === 'b');
+    assert.ok(hung);
+    hung.host.clock.frozenUntil = world.time.now + 25_000;
+    const takenFrom: number[] = [];
+    for (let times = 0; times < 2; times++) {
+      const node = owner(world, 'b.0');
+      takenFrom.push(node);
+      world.end(node);
+      await world.until('taken over', () => owner(world, 'b.0') !== node, 12);
+      world.start(node);
+    }
+    await world.run(150);
+    world.assertAllDone();
+  });
+
+  it('of all controllers, ended while share of a team’s limit is on its way', async () => {
+    const world = twoZones({ teams: [{ name: 'red', cores: 8, maxCores: 16 }] });
+    await world.begin();
+    let ended = 0;
+    world.state.fate = (keys) => {
+      if (keys[0] !== 'live/quota/red' || ended++ > 0) return null;
+      for (let node = 0; node < 4; node++) {
+        world.time.after(1, () => world.end(node));
+        world.time.after(3000 + 500 * node, () => world.start(node));
+      }
+      return { appliedAfterMs: 2000, answered: false };
+    };
+    world.submit(inB, 10);
+    world.submit({ id: 'j-2', tasks: 12 }, 10);
+    await world.run(200);
+    assert.ok(ended > 0, 'share was given up');
+    world.assertAllDone();
+  });
+
+  it('of a controller that stands still right after its transaction was sent, and wakes up as an owner of old', async () => {
+    for (const kind of ['live/progress/', 'live/machines/', 'live/job/']) {
+      const world = twoZones();
+      let stood = 0;
+      world.state.fate = (keys, from) => {
+        if (!keys.some((key) => key.startsWith(kind)) || world.time.now < 15_000 || stood++ > 0) return null;
+        world.freeze(Number(from.name.split('-')[1]), 37_000);
+        return { appliedAfterMs: 500, answered: true };
+      };
+      await world.begin();
+      world.submit(inB, 8);
+      world.submit({ id: 'j-2', tasks: 20 }, 8);
+      await world.run(40);
+      world.submit({ id: 'j-3', tasks: 20 }, 8);
+      await world.run(100);
+      if (kind !== 'live/machines/') assert.equal(stood > 0, true, kind);
+      world.assertAllDone();
+    }
+  });
+
+  it('from an outage that ends while a zone is cut off with packets held', async () => {
+    const world = twoZones();
+    await world.begin();
+    world.submit(inB, 15);
+    world.submit({ id: 'j-2', tasks: 20 }, 15);
+    await world.run(4);
+    world.state.setOutage(true);
+    await world.run(8);
+    const heal = cutZone(world, 'b', 'hold');
+    await world.run(10);
+    world.state.setOutage(false);
+    await world.run(20);
+    heal();
+    await world.run(150);
+    world.assertAllDone();
+  });
+});
+
+describe('while nobody reaches the state service', () => {
+  /** What a poll of the job is answered: its state, or the status. */
+  async function poll(world: World, node: number, job: string): Promise<string | number> {
+    const from: Host = {
+      name: 'user',
+      kind: 'users',
+      zone: null,
+      status: 'up',
+      clock: new HostClock(world.time, 0),
+    };
+    const address = `127.0.0.1:${String(9000 + node)}`;
+    const call = { address, method: 'GET' as const, path: `/v1/jobs/${job}`, deadlineMs: 2000 };
+    let answer: string | number = 'none';
+    void world.network.exchange(from, call).then((reply) => {
+      const body = JSON.parse(reply.body) as { stato?: string };
+      answer = reply.status === 200 ? (body.stato ?? '') : reply.status;
+    });
+    await world.run(2);
+    return answer;
+  }
+
+  async function inOutage(): Promise<World> {
+    const world = twoZones();
+    await world.begin();
+    world.submit(inB, 30);
+    world.submit({ id: 'j-2', tasks: 2 }, 1);
+    await world.until('one done', () => world.judge.finalState('j-2') === 'done', 30);
+    world.state.setOutage(true);
+    await world.run(5);
+    return world;
+  }
+
+  it('polls are answered if all nodes know the job as open, and what is over stays over', async () => {
+    const world = await inOutage();
+    assert.equal(await poll(world, 0, 'j-1'), 'running');
+    // One of them has told the job's end to its user: it is not told as open by any other node.
+    assert.notEqual(await poll(world, 1, 'j-2'), 'running');
+    assert.equal(await poll(world, 1, 'j-99'), 503);
+  });
+
+  it('polls are not answered while a node is gone that may have told the end, or is back and has read nothing', async () => {
+    const world = await inOutage();
+    world.end(2);
+    assert.equal(await poll(world, 0, 'j-1'), 503);
+    world.start(2);
+    await world.run(5);
+    assert.equal(await poll(world, 0, 'j-1'), 503);
+    world.state.setOutage(false);
+    await world.run(3);
+    assert.equal(await poll(world, 0, 'j-1'), 'running');
+  });
+
+  it('a node that is cut off alone tells no older state than the others', async () => {
+    const world = twoZones();
+    await world.begin();
+    world.submit({ tasks: 4 }, 12);
+    await world.run(8);
+    world.network.cut('drop', (x, y) => x.name === 'node-0' && y.kind === 'state');
+    await world.until('done', () => world.judge.finalState('j-1') === 'done', 40);
+    await world.run(1);
+    assert.equal(await poll(world, 0, 'j-1'), 'done');
+    assert.deepEqual(world.judge.violations, []);
+  });
+});
--- a/packages/emulator/test/world.ts
+++ b/packages/emulator/test/world.ts
@@ -98,10 +98,6 @@
     return record?.slices ?? [];
   }
 
-  ownerOf(part: string): number {
-    return this.deployment.nodes.findIndex((_, node) => this.owned(node).includes(part));
-  }
-
   /** All that was accepted is done, and no rule was broken on the way. */
   assertAllDone(): void {
     assert.deepEqual(this.judge.violations, []);
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -190,6 +190,11 @@
 /** Milliseconds a sibling has to answer a request passed on to it. */
 export const FORWARD_DEADLINE_MS = 900;
 
+/** Milliseconds between two rounds of asking all siblings to vouch for jobs: one round serves all polls that wait. */
+export const VOUCH_GAP_MS = 100;
+/** Jobs asked about in one such round; those beyond it have the next. */
+export const VOUCH_MOST = 500;
+
 // --- limits of teams ---
 /** Milliseconds between shifts of one team's limit from a part to another. */
 export const QUOTA_SHIFT_MS = 500;
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -43,6 +43,7 @@
 import { partMap, type PartMap } from './parts.ts';
 import { Reach } from './reach.ts';
 import { SiblingCalls } from './sibling-calls.ts';
+import { Vouching } from './vouching.ts';
 
 export interface ControllerDeps {
   settings: Settings;
@@ -74,6 +75,7 @@
   private readonly reach: Reach;
   private readonly siblings: SiblingCalls;
   private readonly moves: Moves;
+  private readonly vouching: Vouching;
   private readonly openJobs = new OpenJobs();
   private readonly machinePages = new KnownPages<MachinesRecord>();
   private readonly progressPages = new KnownPages<ProgressRecord>();
@@ -133,6 +135,7 @@
       catalog: () => this.types,
       openSpec: (job) => this.openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => this.progress(job),
+      vouched: (job) => this.vouching.isOpen(job),
       passOn: (op, body) => this.siblings.passOn(op, body),
     });
     const { store, replica, limits, averages, openJobs } = this;
@@ -204,6 +207,15 @@
       record: (job) => openJobs.jobs.get(job)?.record ?? null,
       owned: () => this.owned.all(),
     });
+    this.vouching = new Vouching({
+      clock,
+      signal,
+      siblings: settings.siblings.map((sibling) => sibling.name),
+      connectedSiblings: deps.connectedSiblings,
+      sendToSibling: deps.sendToSibling,
+      // While the records are read anew, they are not all there.
+      knowsOpen: (job) => this.loaded && this.jobs.knowsOpen(job),
+    });
     this.siblings = new SiblingCalls({
       clock,
       log,
@@ -352,6 +364,10 @@
         return this.averages.set(message, false);
       case 'handover':
         return this.owned.onHandover(message);
+      case 'vouch':
+        return this.vouching.onAsk(from, message);
+      case 'vouched':
+        return this.vouching.onAnswer(from, message);
       case 'ask':
         return void this.siblings.answer(from, message);
       case 'answer':
--- a/packages/scheduler/src/coordination/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs.ts
@@ -44,6 +44,8 @@
   openSpec: (job: string) => JobSpec | null;
   /** Tasks left of the job and tasks on machines, as far as known here. */
   progress: (job: string) => { left: number; running: number };
+  /** Whether all nodes vouch for the job as open; asked of all of them from now on. */
+  vouched: (job: string) => Promise<boolean>;
   /** Asks a sibling that may reach the state service; null if none answered. */
   passOn: (op: UserOp, body: JobSpec | string) => Promise<UserAnswer | null>;
 }
@@ -91,6 +93,10 @@
     if (over) return this.final(op, id, over);
     const stale = this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
     if (stale) {
+      if (op !== 'withdraw' && (await this.context.vouched(id))) {
+        const tasks = this.context.openSpec(id)?.tasks ?? 0;
+        return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks })) };
+      }
       const passed = await this.context.passOn(op, body);
       if (passed) return passed;
     }
@@ -103,6 +109,11 @@
     }
   }
 
+  /** Whether this node knows the job as accepted, and of no end of it. */
+  knowsOpen(id: string): boolean {
+    return this.context.openSpec(id) !== null && !this.over.has(id);
+  }
+
   private final(op: UserOp, id: string, status: 'done' | 'cancelled'): UserAnswer {
     if (op !== 'status') return { status: 200, body: encodeState(id, status) };
     return { status: 200, body: encodeView({ id, status, done: 0, running: 0 }) };
--- a/packages/scheduler/src/protocol/mesh.ts
+++ b/packages/scheduler/src/protocol/mesh.ts
@@ -30,6 +30,18 @@
     /** Tasks that run nowhere, by the slice's name, as the bits of their positions. */
     free: z.record(z.string(), z.string()),
   }),
+  z.object({
+    kind: z.literal('vouch'),
+    id: z.number(),
+    /** Of which the sender wants to tell that they are open. */
+    jobs: z.array(z.string()),
+  }),
+  z.object({
+    kind: z.literal('vouched'),
+    id: z.number(),
+    /** Those that the sender does not know as open, or of whose end it knows. */
+    refused: z.array(z.string()),
+  }),
   z.object({
     kind: z.literal('ask'),
     id: z.number(),
