A part moves at most once for one cause; machines unheard are not machines lost

Cause: (a) where nobody reaches a part it went round the nodes, each takeover begun anew, also to a node known to be cut off; (b) in a cut zone machines fall silent one by one, and until four fifths had, those heard first were returned; so were those that did not accept a new owner when the cut began during its takeover. Change: (a) other nodes try a part that its owner does not reach and list it as found; it is handed on only to one of those, and nodes that miss some part come last in a takeover; (b) a machine is lost only if a fifth of its part was heard since it was first asked in vain; each return is logged with its proof (design.md, Ownership, Lost and unheard).

--- a/packages/emulator/test/recovery.test.ts
+++ b/packages/emulator/test/recovery.test.ts
@@ -19,11 +19,70 @@
 const cutZone = (world: World, zone: string, mode: 'hold' | 'drop'): (() => void) =>
   world.network.cut(mode, (x: Host, y: Host) => x.zone === zone && y.zone !== zone);
 
+const token = (world: World, part: string): number =>
+  (world.state.read(`live/part/${part}`) as { token: number }).token;
+
 /** The node that owns the part by the record. */
 const owner = (world: World, part: string): number =>
   Number((world.state.read(`live/part/${part}`) as { owner: string }).owner.split('-')[1]);
 
 describe('recovery', () => {
+  it('of a part whose owner alone is cut off from the machines: it moves once, to a node that reaches them', async () => {
+    const world = twoZones();
+    await world.begin();
+    world.submit(inB, 40);
+    await world.run(5);
+    const first = owner(world, 'b.0');
+    const before = token(world, 'b.0');
+    const name = `node-${String(first)}`;
+    const heal = world.network.cut('drop', (x, y) => x.name === name && y.kind === 'worker');
+    await world.until('another owner', () => owner(world, 'b.0') !== first, 15);
+    await world.run(30);
+    assert.equal(token(world, 'b.0'), before + 1);
+    heal();
+    await world.until('back home', () => owner(world, 'b.0') === first, 10);
+    await world.run(60);
+    assert.equal(token(world, 'b.0'), before + 2);
+    world.assertAllDone();
+  });
+
+  it('of a part that nobody reaches: it stays where it is, and works again as soon as it is reached', async () => {
+    const world = twoZones({ nodes: ['a', 'a', 'a', 'b'] });
+    await world.begin();
+    world.submit(inB, 30);
+    await world.run(3);
+    const parts = ['b.0', 'b.1'];
+    // The zone's own controller is cut off with it; whoever takes its parts over hears no machine.
+    const heal = cutZone(world, 'b', 'drop');
+    await world.until('taken over', () => parts.every((part) => owner(world, part) !== 3), 25);
+    const taken = parts.map((part) => token(world, part));
+    await world.run(25);
+    assert.deepEqual(
+      parts.map((part) => token(world, part)),
+      taken,
+    );
+    heal();
+    await world.until('tasks run', () => world.judge.running('j-1').length > 0, 15);
+    await world.run(120);
+    world.assertAllDone();
+    assert.equal(world.cloud.counts.returned, 0, 'machines unheard are not machines lost');
+  });
+
+  it('of a zone that is cut off from its owners: none of its machines is taken for lost, though silence comes one by one', async () => {
+    const initial = ['a', 'b'].map((zone) => ({ type: 'small', zone, spot: false, count: 40 }));
+    const world = twoZones({ ...slow, nodes: ['a', 'a'], initial });
+    await world.begin();
+    world.submit(inB, 60);
+    await world.run(12);
+    const heal = cutZone(world, 'b', 'hold');
+    await world.run(18);
+    heal();
+    await world.run(100);
+    assert.equal(world.cloud.counts.returned, 0);
+    assert.equal(world.sessionsLost, 0, 'what ran goes on');
+    world.assertAllDone();
+  });
+
   it('after a takeover while the zone is cut, its packets held and delivered after the next takeover', async () => {
     const world = twoZones(slow);
     await world.begin();
--- a/packages/scheduler/src/bookkeeping/records.ts
+++ b/packages/scheduler/src/bookkeeping/records.ts
@@ -12,6 +12,8 @@
   incarnation: string;
   /** Parts whose machines this node cannot reach. */
   unreachable: string[];
+  /** Parts that their owners cannot reach, and a machine of which has answered this node. */
+  reaches: string[];
 }
 export interface PartRecord {
   owner: string;
@@ -90,7 +92,12 @@
   saveS: z.number(),
   deadlineS: z.nullable(z.number()),
 });
-const node = z.object({ incarnation: z.string(), unreachable: z.array(z.string()) });
+const node = z.object({
+  incarnation: z.string(),
+  unreachable: z.array(z.string()),
+  // A node of an older version tells none.
+  reaches: z._default(z.array(z.string()), []),
+});
 const part = z.object({ owner: z.string(), incarnation: z.string(), token: z.number() });
 const machine = z.object({ endpoint: z.string(), type: z.string(), zone: z.string(), spot: z.boolean() });
 const machines = z.object({ machines: z.record(z.string(), machine) });
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -74,6 +74,8 @@
 export const IN_TIME_MS = 500;
 /** Milliseconds between tries to reach a part that could not be reached. */
 export const REACH_MS = 2000;
+/** Milliseconds within which every node that is up has tried to reach a part that its owner does not: two such tries. */
+export const REACH_TRIED_MS = 2 * REACH_MS + 2000;
 /** Machines asked in such a try. */
 export const REACH_TRIES = 3;
 /** Milliseconds of safety added to every reckoning of when a worker's lease is over. */
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -250,6 +250,7 @@
     switch (change.kind) {
       case 'node':
         this.membership.onNode(change.name, change.record);
+        if (this.loaded && this.membership.sought.length > 0) void this.reach.tryReach();
         return this.wakeReports();
       case 'part':
         this.membership.onPart(change.part, change.record);
--- a/packages/scheduler/src/coordination/machine-orders.ts
+++ b/packages/scheduler/src/coordination/machine-orders.ts
@@ -116,8 +116,12 @@
     const began = this.context.clock.now();
     let answer = await this.send(machine, []);
     if (answer === 'rejected' && !machine.fenced && this.active) answer = await this.send(machine, []);
+    if (answer !== 'unknown') machine.deafSince = Infinity;
     // A controller without processor time would return healthy machines one after the other.
-    if (answer === 'unknown' && !this.context.lateSince(began)) machine.fenceTries++;
+    else if (!this.context.lateSince(began)) {
+      machine.fenceTries++;
+      machine.deafSince = Math.min(machine.deafSince, this.context.clock.now());
+    }
   }
 
   /** Asks a silent machine directly. */
--- a/packages/scheduler/src/coordination/membership.ts
+++ b/packages/scheduler/src/coordination/membership.ts
@@ -4,6 +4,7 @@
   NODE_EXTEND_MS,
   NODE_LEASE_MS,
   OWNERSHIP_TICK_MS,
+  REACH_TRIED_MS,
   SETTLE_MS,
   TAKEOVER_STEP_MS,
 } from '../constants.ts';
@@ -37,7 +38,10 @@
   private readonly owners = new Map<string, PartRecord>();
   private readonly ownerlessSince = new Map<string, number>();
   private lease: Int | null = null;
-  private readonly unreachable = new Set<string>();
+  /** Parts that this node cannot reach, and since when. */
+  private readonly unreachable = new Map<string, number>();
+  /** Parts that their owners cannot reach, and a machine of which has answered this node. */
+  private readonly found = new Set<string>();
   private loaded = false;
   private loadedAt = Infinity;
 
@@ -78,19 +82,56 @@
   setReach(part: string, reached: boolean): void {
     if (this.unreachable.has(part) === !reached) return;
     if (reached) this.unreachable.delete(part);
-    else this.unreachable.add(part);
+    else this.unreachable.set(part, this.context.clock.now());
+    this.found.delete(part);
     this.context.log.info({ part, reached }, 'reach of a part changed');
     void this.putNode();
   }
 
+  /** Notes that a machine of a part has answered this node, which its owner cannot reach. */
+  setFound(part: string): void {
+    if (this.found.has(part) || !this.sought.includes(part)) return;
+    this.found.add(part);
+    this.context.log.info({ part }, 'part found that its owner cannot reach');
+    void this.putNode();
+  }
+
   /** Parts that this node found it cannot reach. */
   get unreached(): string[] {
-    return [...this.unreachable];
+    return [...this.unreachable.keys()];
+  }
+
+  /** Parts of others that their owners cannot reach: whoever does may have them. */
+  get sought(): string[] {
+    return [...this.owners].flatMap(([part, record]) => {
+      const owner = this.nodes.get(record.owner);
+      return this.alive(record) && !this.isSelf(record) && owner?.unreachable.includes(part) ? [part] : [];
+    });
+  }
+
+  /** What others seek no more need not be told. */
+  dropFound(): void {
+    const sought = this.sought;
+    const dropped = [...this.found].filter((part) => !sought.includes(part));
+    for (const part of dropped) this.found.delete(part);
+    if (dropped.length > 0) void this.putNode();
   }
 
-  /** Whether no node that is up reaches the part: then its silent machines are gone, and not its owner. */
+  /**
+   * Whether no node that is up reaches the part, though all have had the time to try: then its silent machines are
+   * gone, and not its owner.
+   */
   reachedByNone(part: string): boolean {
-    return [...this.nodes.values()].every((node) => node.unreachable.includes(part));
+    const since = this.unreachable.get(part) ?? Infinity;
+    return this.context.clock.now() - since > REACH_TRIED_MS && this.finders(part).length === 0;
+  }
+
+  /** Nodes that are up and that a machine of the part, which its owner does not reach, has answered. */
+  private finders(part: string): string[] {
+    const { self } = this.context;
+    return [...this.nodes].flatMap(([name, node]) =>
+      name !== self.name && node.reaches.includes(part) && !node.unreachable.includes(part) ? [name] : [],
+    );
   }
 
   run(signal: AbortSignal): Promise<unknown> {
@@ -120,7 +161,11 @@
     const { store, self, log } = this.context;
     const lease = this.lease;
     if (lease === null) return;
-    const value: NodeRecord = { incarnation: self.incarnation, unreachable: this.unreached };
+    const value: NodeRecord = {
+      incarnation: self.incarnation,
+      unreachable: this.unreached,
+      reaches: [...this.found],
+    };
     try {
       const result = await store.txn([], [{ op: 'put', key: nodeKey(self.name), value, lease }], 'ownership');
       if (result.kind !== 'committed') this.lease = null;
@@ -166,14 +211,20 @@
     const among = reaching.length > 0 ? reaching : up;
     const owned = (name: string): number =>
       [...this.owners.values()].filter((record) => record.owner === name && this.alive(record)).length;
-    const score = (node: { name: string; zone: string }): [number, number, number] => [
+    // One that does not reach some part is likely cut off, and owns little because it has given its parts away.
+    const score = (node: { name: string; zone: string }): number[] => [
       this.home(part) === node.name ? 0 : 1,
+      this.nodes.get(node.name)?.unreachable.length ?? 0,
       owned(node.name),
       hash(`${part}:${node.name}`),
     ];
+    const lower = (a: number[], b: number[]): number => {
+      const at = a.findIndex((value, i) => value !== b[i]);
+      return (a[at] ?? 0) - (b[at] ?? 0);
+    };
     return among
       .map((node) => ({ name: node.name, score: score(node) }))
-      .sort((a, b) => a.score[0] - b.score[0] || a.score[1] - b.score[1] || a.score[2] - b.score[2])
+      .sort((a, b) => lower(a.score, b.score))
       .map((entry) => entry.name);
   }
 
@@ -208,15 +259,17 @@
   }
 
   /**
-   * A zone's own node reaches its machines through fewer failures, and owners share the work evenly. An
-   * owner that cannot reach the machines gives the part to one that may.
+   * A zone's own node reaches its machines through fewer failures, and owners share the work evenly. An owner that
+   * cannot reach the machines gives the part to one that has reached one since: where nobody does, to move it would
+   * only begin its takeover anew, with every owner.
    */
   private async handBack(part: string, record: PartRecord, now: number): Promise<void> {
-    const { replica, self } = this.context;
+    const { replica } = this.context;
     const cut = this.unreachable.has(part);
-    const home = cut ? (this.candidates(part, false)[0] ?? self.name) : this.home(part);
-    const node = this.nodes.get(home);
-    if (home === self.name || !node || !this.reaches(home, part)) return;
+    const finders = this.finders(part);
+    const home = cut ? this.candidates(part, false).find((name) => finders.includes(name)) : this.home(part);
+    const node = home === undefined ? undefined : this.nodes.get(home);
+    if (home === undefined || home === this.context.self.name || !node || !this.reaches(home, part)) return;
     if (!cut && now - node.since < HANDBACK_AFTER_MS) return;
     const conditions = [
       { key: partKey(part), version: replica.version(partKey(part)) },
--- a/packages/scheduler/src/coordination/reach.ts
+++ b/packages/scheduler/src/coordination/reach.ts
@@ -8,6 +8,8 @@
 
 /** Finds out whether this node reaches the machines of parts that it does not own. */
 export class Reach {
+  private trying = false;
+
   constructor(
     private readonly context: {
       http: HttpClient;
@@ -19,19 +21,41 @@
     },
   ) {}
 
-  /** A part that this node could not reach is tried again, so that it can be given to it. */
+  /**
+   * Tries the parts that this node could not reach, so that they can be given back to it, and those of others that
+   * their owners do not reach, so that they are given only to a node that does.
+   */
   async tryReach(): Promise<void> {
-    for (const part of this.context.membership.unreached) {
-      const pages = this.context.machinePages.of(part);
-      const machines = pages.flatMap(([, page]) => Object.values(page.machines));
-      const tried: Promise<boolean>[] = [];
-      while (tried.length < REACH_TRIES && machines.length > 0) {
-        const [machine] = machines.splice(this.context.random.below(machines.length), 1);
-        if (machine) tried.push(this.answers(machine.endpoint));
-      }
-      const answered = await Promise.all(tried);
-      if (tried.length === 0 || answered.includes(true)) this.context.membership.setReach(part, true);
+    if (this.trying) return;
+    this.trying = true;
+    const { membership } = this.context;
+    membership.dropFound();
+    const tries = [...membership.unreached, ...membership.sought].map(async (part) => {
+      if (!(await this.isReached(part))) return;
+      membership.setReach(part, true);
+      membership.setFound(part);
+    });
+    await Promise.all(tries);
+    this.trying = false;
+  }
+
+  private async isReached(part: string): Promise<boolean> {
+    const pages = this.context.machinePages.of(part);
+    const machines = pages.flatMap(([, page]) => Object.values(page.machines));
+    const tried: Promise<boolean>[] = [];
+    while (tried.length < REACH_TRIES && machines.length > 0) {
+      const [machine] = machines.splice(this.context.random.below(machines.length), 1);
+      if (machine) tried.push(this.answers(machine.endpoint));
     }
+    if (tried.length === 0) return true;
+    // The first answer is enough: the others may be waited for in vain.
+    const yes = tried.map(async (answered) => {
+      if (!(await answered)) throw new Error('no answer');
+    });
+    return Promise.any(yes).then(
+      () => true,
+      () => false,
+    );
   }
 
   private async answers(endpoint: string): Promise<boolean> {
--- a/packages/scheduler/src/coordination/renting.ts
+++ b/packages/scheduler/src/coordination/renting.ts
@@ -285,35 +285,62 @@
   }
 
   /**
-   * A machine silent for a few reports that does not answer either is returned: that frees its tasks at
-   * once. Where almost all are silent the fault is likelier here, and returning them would throw the part
-   * away: it is handed on instead. Where no node reaches them, the whole part is likely cut off. Its tasks
-   * are free when the leases are over, and its machines are kept: they are back with the network, long
-   * before others could have booted. Those that are really gone leave the cloud's list.
+   * A machine silent for a few reports that does not answer either is returned, if others were heard since it was asked
+   * in vain: that frees its tasks at once. Where almost all are silent the fault is likelier here, and returning them
+   * would throw the part away: it is handed on instead. Where no node reaches them, the whole part is likely cut off.
+   * Its tasks are free when the leases are over, and its machines are kept.
    */
   private watchSilent(now: number): void {
     const { reportMs } = this.deps.settings;
-    const silent = [...this.part.machines.values()].filter((m) => this.isSilent(m, now));
-    const lost = silent.filter((m) => now - m.heardAt > reportMs * LOST_REPORTS && now >= m.deafSince);
-    const cut = silent.length > Math.max(SILENT_FEW, this.part.machines.size * SILENT_SHARE);
-    if (cut && lost.length * 2 > silent.length) this.deps.onUnreachable();
-    const gone = cut ? lost.filter((m) => now - m.heardAt > CUT_OFF_MS) : lost;
-    if (!cut || this.deps.reachedByNone()) {
-      for (const m of gone) this.giveBack(m, m.noticed ? 'taken' : 'silent');
-    }
+    const machines = [...this.part.machines.values()];
+    const silent = machines.filter((m) => this.isSilent(m, now));
+    const deaf = silent.filter((m) => now - m.heardAt > reportMs * LOST_REPORTS && now >= m.deafSince);
+    const cut = silent.length > Math.max(SILENT_FEW, machines.length * SILENT_SHARE);
+    if (cut && deaf.length * 2 > silent.length) this.deps.onUnreachable();
     // While a machine may hold any task, all that is unaccounted for waits for it: after a takeover one that
     // does not answer when the others do is not given the time that a silent machine has otherwise.
-    const fenced = [...this.part.machines.values()].filter((m) => m.fenced).length;
-    if (fenced * 2 > this.part.machines.size) {
-      for (const m of this.part.machines.values()) {
-        if (m.suspect && !m.fenced && m.fenceTries >= FENCE_TRIES && !m.returning)
-          this.giveBack(m, 'not fenced');
+    const fenced = machines.filter((m) => m.fenced).length;
+    const unfenced =
+      fenced * 2 > machines.length
+        ? machines.filter((m) => m.suspect && !m.fenced && m.fenceTries >= FENCE_TRIES)
+        : [];
+    if (deaf.length + unfenced.length > 0) {
+      const others = this.lastHeard(machines);
+      const few = silent.length <= SILENT_FEW;
+      const alone = this.deps.reachedByNone();
+      for (const m of deaf) {
+        const long = now - m.heardAt > CUT_OFF_MS;
+        if (cut ? long && alone : few || m.deafSince < others)
+          this.lose(m, m.noticed ? 'taken' : 'silent', now);
       }
+      for (const m of unfenced) if (m.deafSince < others) this.lose(m, 'not fenced', now);
     }
     const asked = silent.filter((m) => !m.probing && !m.returning).sort((a, b) => a.probedAt - b.probedAt);
     for (const m of asked.slice(0, PROBE_BATCH)) void this.probe(m);
   }
 
+  /** Since when enough of the part's machines have been heard to say that the network is not the reason of a silence. */
+  private lastHeard(machines: Machine[]): number {
+    const enough = Math.max(1, Math.ceil(machines.length * (1 - SILENT_SHARE)));
+    const heard = machines.filter((m) => m.fenced).map((m) => m.heardAt);
+    heard.sort((a, b) => b - a);
+    return heard[enough - 1] ?? -Infinity;
+  }
+
+  /** Returns a machine that is lost, and states what proves it. */
+  private lose(machine: Machine, why: 'taken' | 'silent' | 'not fenced', now: number): void {
+    if (machine.returning) return;
+    const heardSince = [...this.part.machines.values()].filter((m) => m.heardAt > machine.deafSince).length;
+    const seconds = (at: number): number => Math.round((now - at) / 100) / 10;
+    const silentS = seconds(machine.heardAt);
+    const deafS = machine.deafSince === Infinity ? 0 : seconds(machine.deafSince);
+    this.deps.log.info(
+      { machine: machine.id, why, silentS, deafS, heardSince, of: this.part.machines.size },
+      'machine lost',
+    );
+    this.giveBack(machine, why);
+  }
+
   private isSilent(machine: Machine, now: number): boolean {
     return now - machine.heardAt > this.deps.settings.reportMs * SILENT_REPORTS;
   }
