A machine is lost only if others were heard while it was asked in vain

Cause: two holes in the proof of a loss, found by a story of a zone that nobody reaches: the first one or two silent machines of any part went without proof, and when the zone was back, those heard first proved the others lost. And a part just reached again was listed as out of reach at once, as its machines had not reported yet, and handed on. Change: a question counts only if a fifth of the part was heard shortly before and some around it; only parts of one or two machines do without; a part reached again is left alone for 2.4 reports (design.md, Lost and unheard).

--- a/packages/scheduler/src/bookkeeping/machines.ts
+++ b/packages/scheduler/src/bookkeeping/machines.ts
@@ -81,6 +81,8 @@
   emptySince: number;
   /** Since when direct questions go unanswered; infinite while they are answered. */
   deafSince: number;
+  /** Questions since its last answer that it left unanswered while others of its part were heard: the network let them. */
+  missed: number;
   faults: number;
   faultJobs: Set<string>;
   pausedUntil: number;
@@ -122,6 +124,7 @@
     images: new Map(),
     emptySince: now,
     deafSince: Infinity,
+    missed: 0,
     faults: 0,
     faultJobs: new Set(),
     pausedUntil: 0,
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -123,11 +123,18 @@
 export const LOST_REPORTS = 2.4;
 /** Share of a part's machines above which silence is laid to the owner: while others are heard, it is theirs. */
 export const SILENT_SHARE = 0.8;
+/**
+ * Shares of a part's machines heard in a report interval before a question, and while it was asked in vain, above
+ * which a machine that does not answer is lost and not cut off: a fifth is far above none, and a few are heard in the
+ * time of a call even where half of the part has died.
+ */
+export const HEARD_BEFORE = 0.2;
+export const HEARD_MEANWHILE = 0.04;
 /** Milliseconds for which the machines of a part that no node reaches are kept; several times what a boot takes. */
 export const CUT_OFF_MS = 180_000;
 /** Silent machines of a part asked at once; of a part that is cut off there are hundreds, and each call hangs. */
 export const PROBE_BATCH = 20;
-/** Machines that may fall silent together whatever the share; a small part loses one or two at times. */
+/** Machines that may fall silent together whatever the share; a part as small as that has no others to be heard. */
 export const SILENT_FEW = 2;
 /** Milliseconds a machine gets no new tasks after the first task that failed on it; doubles each time. */
 export const FAULT_PAUSE_MS = 4000;
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -194,7 +194,8 @@
       sendToSibling: deps.sendToSibling,
       onOwnersChanged: () => this.wakeReports(),
     });
-    this.reach = new Reach({ http, signal, random, membership, machinePages });
+    const onReached = (part: string): void => this.owned.get(part)?.renting.onReached();
+    this.reach = new Reach({ http, signal, random, membership, machinePages, onReached });
     this.moves = new Moves({
       clock,
       random,
--- a/packages/scheduler/src/coordination/machine-orders.ts
+++ b/packages/scheduler/src/coordination/machine-orders.ts
@@ -1,4 +1,12 @@
-import { COMMAND_DEADLINE_MS, FIRST_SESSION, FORGET_MOST, FORGET_MS } from '../constants.ts';
+import {
+  COMMAND_DEADLINE_MS,
+  FIRST_SESSION,
+  FORGET_MOST,
+  FORGET_MS,
+  HEARD_BEFORE,
+  HEARD_MEANWHILE,
+  SILENT_REPORTS,
+} from '../constants.ts';
 import type { Machine } from '../bookkeeping/machines.ts';
 import { parseJson, stringifyJson } from '../protocol/json.ts';
 import { decodeReport, encodeCommands, type Order, type Report, workerPaths } from '../protocol/workers.ts';
@@ -112,25 +120,47 @@
     }
   }
 
+  /** Asks a machine to accept this owner. */
   async fence(machine: Machine): Promise<void> {
-    const began = this.context.clock.now();
-    let answer = await this.send(machine, []);
-    if (answer === 'rejected' && !machine.fenced && this.active) answer = await this.send(machine, []);
-    if (answer !== 'unknown') machine.deafSince = Infinity;
     // A controller without processor time would return healthy machines one after the other.
-    else if (!this.context.lateSince(began)) {
-      machine.fenceTries++;
-      machine.deafSince = Math.min(machine.deafSince, this.context.clock.now());
-    }
+    if ((await this.ask(machine)) === 'deaf') machine.fenceTries++;
   }
 
   /** Asks a silent machine directly. */
   async probe(machine: Machine): Promise<'answers' | 'deaf' | 'unknown'> {
-    const began = this.context.clock.now();
     machine.probing = true;
-    const answer = await this.send(machine, []);
+    const answer = await this.ask(machine);
     machine.probing = false;
-    if (answer !== 'unknown') return 'answers';
-    return this.context.lateSince(began) ? 'unknown' : 'deaf';
+    return answer;
+  }
+
+  /**
+   * Asks for a report. That none comes says something about the machine itself only if others of the part were heard
+   * shortly before and meanwhile: in a network that is cut, or just back, all are deaf.
+   */
+  private async ask(machine: Machine): Promise<'answers' | 'deaf' | 'unknown'> {
+    const { clock, settings, lateSince } = this.context;
+    const began = clock.now();
+    const heardBefore = this.heardSince(began - settings.reportMs * SILENT_REPORTS);
+    let answer = await this.send(machine, []);
+    if (answer === 'rejected' && !machine.fenced && this.active) answer = await this.send(machine, []);
+    if (answer !== 'unknown') {
+      machine.deafSince = Infinity;
+      machine.missed = 0;
+      return 'answers';
+    }
+    if (lateSince(began)) return 'unknown';
+    machine.deafSince = Math.min(machine.deafSince, clock.now());
+    // Silent long enough to be asked, it was so before any cut that began in the last seconds.
+    const around = this.heardSince(began - COMMAND_DEADLINE_MS);
+    if (heardBefore >= HEARD_BEFORE && around >= HEARD_MEANWHILE) machine.missed++;
+    return 'deaf';
+  }
+
+  /** The share of the part's machines that have been heard since then. */
+  private heardSince(at: number): number {
+    let heard = 0;
+    for (const m of this.part.machines.values()) if (m.fenced && m.heardAt > at) heard++;
+    return heard / this.part.machines.size;
   }
 }
--- a/packages/scheduler/src/coordination/membership.ts
+++ b/packages/scheduler/src/coordination/membership.ts
@@ -78,14 +78,15 @@
     return [...this.nodes.keys()];
   }
 
-  /** Notes whether this node reaches the part's machines; an owner that does not hands the part on. */
-  setReach(part: string, reached: boolean): void {
-    if (this.unreachable.has(part) === !reached) return;
+  /** Notes whether this node reaches the part's machines; an owner that does not hands the part on. True if that is news. */
+  setReach(part: string, reached: boolean): boolean {
+    if (this.unreachable.has(part) === !reached) return false;
     if (reached) this.unreachable.delete(part);
     else this.unreachable.set(part, this.context.clock.now());
     this.found.delete(part);
     this.context.log.info({ part, reached }, 'reach of a part changed');
     void this.putNode();
+    return true;
   }
 
   /** Notes that a machine of a part has answered this node, which its owner cannot reach. */
--- a/packages/scheduler/src/coordination/owned-parts.ts
+++ b/packages/scheduler/src/coordination/owned-parts.ts
@@ -150,7 +150,7 @@
       log,
       cloud: this.context.cloud,
       catalog: this.context.catalog,
-      onUnreachable: () => this.context.membership.setReach(name, false),
+      onUnreachable: () => void this.context.membership.setReach(name, false),
       reachedByNone: () => this.context.membership.reachedByNone(name),
       belongs: (id) => this.context.parts.partOf({ id, zone: this.context.parts.zoneOf(name) }) === name,
     });
--- a/packages/scheduler/src/coordination/reach.ts
+++ b/packages/scheduler/src/coordination/reach.ts
@@ -18,6 +18,8 @@
       membership: Membership;
       /** The part's machines, as recorded. */
       machinePages: KnownPages<MachinesRecord>;
+      /** A part that this node could not reach is reached again. */
+      onReached: (part: string) => void;
     },
   ) {}
 
@@ -32,7 +34,7 @@
     membership.dropFound();
     const tries = [...membership.unreached, ...membership.sought].map(async (part) => {
       if (!(await this.isReached(part))) return;
-      membership.setReach(part, true);
+      if (membership.setReach(part, true)) this.context.onReached(part);
       membership.setFound(part);
     });
     await Promise.all(tries);
--- a/packages/scheduler/src/coordination/renting.ts
+++ b/packages/scheduler/src/coordination/renting.ts
@@ -52,6 +52,8 @@
   private needs: Need[] = [];
   private renting = false;
   private returning = new Set<string>();
+  /** When the part was last found to be reached again. */
+  private reachedAt = -Infinity;
 
   constructor(
     private readonly part: Part,
@@ -127,6 +129,11 @@
     for (const id of this.runningSince.keys()) if (!present.has(id)) this.runningSince.delete(id);
   }
 
+  /** The part, which was not reached, is reached again. */
+  onReached(): void {
+    this.reachedAt = this.deps.clock.now();
+  }
+
   // --- need ---
 
   private want(now: number): Need {
@@ -285,7 +292,7 @@
   }
 
   /**
-   * A machine silent for a few reports that does not answer either is returned, if others were heard since it was asked
+   * A machine silent for a few reports that does not answer either is returned, if others were heard while it was asked
    * in vain: that frees its tasks at once. Where almost all are silent the fault is likelier here, and returning them
    * would throw the part away: it is handed on instead. Where no node reaches them, the whole part is likely cut off.
    * Its tasks are free when the leases are over, and its machines are kept.
@@ -296,7 +303,9 @@
     const silent = machines.filter((m) => this.isSilent(m, now));
     const deaf = silent.filter((m) => now - m.heardAt > reportMs * LOST_REPORTS && now >= m.deafSince);
     const cut = silent.length > Math.max(SILENT_FEW, machines.length * SILENT_SHARE);
-    if (cut && deaf.length * 2 > silent.length) this.deps.onUnreachable();
+    // Just reached again, it is silent still: its machines have had no time to report.
+    const again = now - this.reachedAt < reportMs * LOST_REPORTS;
+    if (cut && !again && deaf.length * 2 > silent.length) this.deps.onUnreachable();
     // While a machine may hold any task, all that is unaccounted for waits for it: after a takeover one that
     // does not answer when the others do is not given the time that a silent machine has otherwise.
     const fenced = machines.filter((m) => m.fenced).length;
@@ -304,38 +313,26 @@
       fenced * 2 > machines.length
         ? machines.filter((m) => m.suspect && !m.fenced && m.fenceTries >= FENCE_TRIES)
         : [];
-    if (deaf.length + unfenced.length > 0) {
-      const others = this.lastHeard(machines);
-      const few = silent.length <= SILENT_FEW;
-      const alone = this.deps.reachedByNone();
-      for (const m of deaf) {
-        const long = now - m.heardAt > CUT_OFF_MS;
-        if (cut ? long && alone : few || m.deafSince < others)
-          this.lose(m, m.noticed ? 'taken' : 'silent', now);
-      }
-      for (const m of unfenced) if (m.deafSince < others) this.lose(m, 'not fenced', now);
+    // In a part of one or two no others could be heard.
+    const few = machines.length <= SILENT_FEW;
+    const alone = this.deps.reachedByNone();
+    for (const m of deaf) {
+      const long = now - m.heardAt > CUT_OFF_MS;
+      if (cut ? long && alone : few || m.missed > 0) this.lose(m, m.noticed ? 'taken' : 'silent', now);
     }
+    for (const m of unfenced) if (m.missed > 0) this.lose(m, 'not fenced', now);
     const asked = silent.filter((m) => !m.probing && !m.returning).sort((a, b) => a.probedAt - b.probedAt);
     for (const m of asked.slice(0, PROBE_BATCH)) void this.probe(m);
   }
 
-  /** Since when enough of the part's machines have been heard to say that the network is not the reason of a silence. */
-  private lastHeard(machines: Machine[]): number {
-    const enough = Math.max(1, Math.ceil(machines.length * (1 - SILENT_SHARE)));
-    const heard = machines.filter((m) => m.fenced).map((m) => m.heardAt);
-    heard.sort((a, b) => b - a);
-    return heard[enough - 1] ?? -Infinity;
-  }
-
   /** Returns a machine that is lost, and states what proves it. */
   private lose(machine: Machine, why: 'taken' | 'silent' | 'not fenced', now: number): void {
     if (machine.returning) return;
-    const heardSince = [...this.part.machines.values()].filter((m) => m.heardAt > machine.deafSince).length;
     const seconds = (at: number): number => Math.round((now - at) / 100) / 10;
-    const silentS = seconds(machine.heardAt);
     const deafS = machine.deafSince === Infinity ? 0 : seconds(machine.deafSince);
+    const { missed } = machine;
     this.deps.log.info(
-      { machine: machine.id, why, silentS, deafS, heardSince, of: this.part.machines.size },
+      { machine: machine.id, why, silentS: seconds(machine.heardAt), deafS, missed },
       'machine lost',
     );
     this.giveBack(machine, why);
@@ -347,9 +344,7 @@
 
   private async probe(machine: Machine): Promise<void> {
     machine.probedAt = this.deps.clock.now();
-    const found = await this.part.probe(machine);
-    if (found === 'answers') machine.deafSince = Infinity;
-    if (found === 'deaf') machine.deafSince = Math.min(machine.deafSince, this.deps.clock.now());
+    await this.part.probe(machine);
   }
 
   private giveBack(machine: Machine, why: string): void {
