--- a/packages/scheduler/src/bookkeeping/records.ts
+++ b/packages/scheduler/src/bookkeeping/records.ts
@@ -19,6 +19,8 @@
   owner: string;
   incarnation: string;
   token: number;
+  /** Of the parts among which it is one; a machine is in another part by another layout. */
+  layout: string;
 }
 export interface MachineRecord {
   endpoint: string;
@@ -98,7 +100,13 @@
   // A node of an older version tells none.
   reaches: z._default(z.array(z.string()), []),
 });
-const part = z.object({ owner: z.string(), incarnation: z.string(), token: z.number() });
+const part = z.object({
+  owner: z.string(),
+  incarnation: z.string(),
+  token: z.number(),
+  // Records of an older version have none: its parts were others.
+  layout: z._default(z.string(), ''),
+});
 const machine = z.object({ endpoint: z.string(), type: z.string(), zone: z.string(), spot: z.boolean() });
 const machines = z.object({ machines: z.record(z.string(), machine) });
 const openJob = z.object({
--- /dev/null
+++ b/packages/scheduler/src/coordination/catalog.ts
@@ -0,0 +1,25 @@
+import { CATALOG_MS, RETRY_MS } from '../constants.ts';
+import type { MachineType } from '../protocol/cloud.ts';
+import type { Clock } from '../transport/clock.ts';
+import type { Log } from '../transport/routine.ts';
+import type { CloudCalls } from './cloud-calls.ts';
+
+/** The cloud's machine types, read again now and then: only prices change. */
+export class Catalog {
+  /** Null until they have been read once. */
+  types: MachineType[] | null = null;
+
+  constructor(private readonly context: { cloud: CloudCalls; clock: Clock; log: Log; signal: AbortSignal }) {}
+
+  async run(): Promise<void> {
+    const { cloud, clock, log, signal } = this.context;
+    while (!signal.aborted) {
+      try {
+        this.types = await cloud.catalog();
+      } catch (error) {
+        log.debug({ err: String(error) }, 'no catalogue');
+      }
+      await clock.sleep(this.types === null ? RETRY_MS : CATALOG_MS, signal);
+    }
+  }
+}
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -1,5 +1,4 @@
 import {
-  CATALOG_MS,
   CLOCK_DRIFT,
   CLOUD_DEADLINE_MS,
   LEASE_MARGIN_MS,
@@ -10,7 +9,6 @@
   REACH_MS,
   RENT_TICK_MS,
   REPORT_HOLD_MS,
-  RETRY_MS,
   STATE_DEADLINE_MS,
 } from '../constants.ts';
 import { KnownPages } from '../bookkeeping/known-pages.ts';
@@ -22,7 +20,7 @@
 import type { Int } from '../protocol/json.ts';
 import { decodeMesh, type MeshMessage } from '../protocol/mesh.ts';
 import { stateApi } from '../protocol/state.ts';
-import type { JobSpec, UserAnswer } from '../protocol/users.ts';
+import { answers, type JobSpec, type UserAnswer } from '../protocol/users.ts';
 import type { Report } from '../protocol/workers.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
@@ -31,6 +29,7 @@
 import type { Random } from '../transport/random.ts';
 import { type Log, routine } from '../transport/routine.ts';
 import { Averages } from './averages.ts';
+import { Catalog } from './catalog.ts';
 import { CloudCalls } from './cloud-calls.ts';
 import { Jobs } from './jobs.ts';
 import { JobEnds } from './job-ends.ts';
@@ -69,6 +68,7 @@
   private readonly averages: Averages;
   private readonly jobs: Jobs;
   private readonly cloud: CloudCalls;
+  private readonly catalog: Catalog;
   private readonly jobEnds: JobEnds;
   private readonly limitShifts: LimitShifts;
   private readonly owned: OwnedParts;
@@ -83,7 +83,6 @@
   private readonly lateness: Lateness;
   /** Aborted, and replaced, whenever who owns what or who is up changes. */
   private owners = endless();
-  private types: MachineType[] | null = null;
   private loaded = false;
 
   constructor(private readonly deps: ControllerDeps) {
@@ -123,6 +122,7 @@
       `${settings.node}-${deps.incarnation}`,
       { rps: settings.cloudRps, nodes },
     );
+    this.catalog = new Catalog({ cloud: this.cloud, clock, log, signal });
     this.jobs = new Jobs({
       settings,
       clock,
@@ -132,7 +132,7 @@
       replica: this.replica,
       averages: this.averages,
       parts: this.parts,
-      catalog: () => this.types,
+      catalog: () => this.catalog.types,
       openSpec: (job) => this.openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => this.progress(job),
       vouched: (job) => this.vouching.isOpen(job),
@@ -167,7 +167,7 @@
     );
     const { membership, machinePages, progressPages } = this;
     const order = new JobOrder({ settings, clock, wallClock, openJobs, limits, averages });
-    const catalog = (): MachineType[] | null => this.types;
+    const catalog = (): MachineType[] | null => this.catalog.types;
     this.owned = new OwnedParts({
       settings,
       clock,
@@ -239,7 +239,7 @@
       routine('renting', RENT_TICK_MS, duty, () => this.owned.tickRenting()),
       routine('machine list', LIST_MS, duty, () => this.owned.readMachines()),
       routine('reach', REACH_MS, duty, () => this.reach.tryReach()),
-      this.keepCatalog(),
+      this.catalog.run(),
       routine('limits', QUOTA_SHIFT_MS, duty, () => this.limitShifts.shiftAll()),
       routine('moves', MOVE_MS, duty, () => this.moves.moveOne()),
     ]);
@@ -309,6 +309,7 @@
   // --- users ---
 
   submit(spec: JobSpec): Promise<UserAnswer> {
+    if (this.membership.foreign) return Promise.resolve(answers.undecided);
     return this.jobs.submit(spec);
   }
   status(id: string): Promise<UserAnswer> {
@@ -319,7 +320,7 @@
   }
 
   ready(): boolean {
-    return this.loaded && this.types !== null;
+    return this.loaded && this.catalog.types !== null && !this.membership.foreign;
   }
 
   private progress(job: string): { left: number; running: number } {
@@ -386,18 +387,6 @@
     this.owned.tick();
   }
 
-  private async keepCatalog(): Promise<void> {
-    const { clock, log, signal } = this.deps;
-    while (!signal.aborted) {
-      try {
-        this.types = await this.cloud.catalog();
-      } catch (error) {
-        log.debug({ err: String(error) }, 'no catalogue');
-      }
-      await clock.sleep(this.types === null ? RETRY_MS : CATALOG_MS, signal);
-    }
-  }
-
   /** For tests and logs. */
   get ownedParts(): string[] {
     return [...this.owned.owned.keys()];
--- a/packages/scheduler/src/coordination/membership.ts
+++ b/packages/scheduler/src/coordination/membership.ts
@@ -44,6 +44,8 @@
   private readonly found = new Set<string>();
   private loaded = false;
   private loadedAt = Infinity;
+  /** Whether the records speak of parts that this node does not have: it can serve nobody by them. */
+  foreign = false;
 
   constructor(private readonly context: MembershipContext) {}
 
@@ -183,6 +185,7 @@
 
   private async watchParts(): Promise<void> {
     if (!this.loaded || this.lease === null) return;
+    if (this.isForeign()) return;
     const { self } = this.context;
     const now = this.context.clock.now();
     for (const part of this.context.parts.names) {
@@ -202,6 +205,19 @@
     }
   }
 
+  private isForeign(): boolean {
+    const { parts, log } = this.context;
+    const other = [...this.owners].find(([, record]) => record.layout !== parts.layout);
+    if (other && !this.foreign) {
+      log.error(
+        { part: other[0], layout: other[1].layout, own: parts.layout },
+        'the records are of other parts: zones or controllers have changed, or the version; nothing is taken over',
+      );
+    }
+    this.foreign = other !== undefined;
+    return this.foreign;
+  }
+
   /** Who should take the part, best first: its zone's node, then whoever owns least. */
   private candidates(part: string, first: boolean): string[] {
     const { self, siblings } = this.context;
@@ -292,7 +308,8 @@
     conditions: Condition[],
     why: string,
   ): Promise<void> {
-    const value: PartRecord = { ...to, token: (before?.token ?? 0) + 1 };
+    const { layout } = this.context.parts;
+    const value: PartRecord = { ...to, token: (before?.token ?? 0) + 1, layout };
     try {
       const result = await this.context.store.txn(
         conditions,
--- a/packages/scheduler/src/coordination/parts.ts
+++ b/packages/scheduler/src/coordination/parts.ts
@@ -9,6 +9,8 @@
   names: string[];
   zoneOf(part: string): string;
   partOf(machine: { id: string; zone: string }): string | null;
+  /** Tells these parts from those that other zones or controllers come to. */
+  layout: string;
 }
 
 export function partMap(zones: string[], controllers: number): PartMap {
@@ -28,6 +30,7 @@
   };
   return {
     names: [...zoneOf.keys()],
+    layout: zones.map((zone) => `${zone}/${String(perZone)}`).join(' '),
     zoneOf: (part) => zoneOf.get(part) ?? part,
     partOf: (machine) => {
       if (!zones.includes(machine.zone)) return null;
