--- a/packages/scheduler/src/coordination/part-tasks.ts
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -88,17 +88,23 @@
 
   /** The machine has gone to its next session: nothing of the last one is on it. */
   newSession(machine: Machine, session: Int): void {
-    if (machine.session !== 0 && machine.attempts.size > 0) {
-      this.context.log.info(
-        { machine: machine.id, tasks: machine.attempts.size },
-        'machine lost its session',
-      );
-    }
+    this.loseAll(machine, machine.session === 0 ? null : 'machine lost its session');
+    machine.session = session;
+    machine.seq = 0;
+  }
+
+  /** Every lease of the machine is over: the worker has killed its tasks and gone to its next session. */
+  expire(machine: Machine): void {
+    this.loseAll(machine, 'lease over: tasks are free');
+  }
+
+  /** Nothing of the session is left on the machine, and no earlier command counts in the next one. */
+  private loseAll(machine: Machine, told: string | null): void {
+    const tasks = machine.attempts.size;
+    if (told !== null && tasks > 0) this.context.log.info({ machine: machine.id, tasks }, told);
     for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
     machine.ended.clear();
     machine.unforgettable.clear();
-    machine.session = session;
-    machine.seq = 0;
   }
 
   /** The attempt is certainly gone from its machine without a result. */
@@ -108,20 +114,6 @@
     this.part.onFreed();
   }
 
-  /** Every lease of the machine is over: the worker has killed its tasks and gone to its next session. */
-  expire(machine: Machine): void {
-    if (machine.attempts.size > 0) {
-      this.context.log.info(
-        { machine: machine.id, tasks: machine.attempts.size },
-        'lease over: tasks are free',
-      );
-    }
-    // No earlier command counts in the next session.
-    for (const attempt of [...machine.attempts.values()]) this.lose(machine, attempt);
-    machine.ended.clear();
-    machine.unforgettable.clear();
-  }
-
   /** A reported attempt that this owner did not start, or gave up: left by an owner before, or late. */
   private adopt(
     machine: Machine,
