--- /dev/null
+++ b/packages/scheduler/test/takeovers.test.ts
@@ -0,0 +1,243 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { type Cluster, CANCEL_MS, LEASE_MS, REPORT_MS } from './cluster.ts';
+import { cluster, startsOf, workUntilDone, zones } from './story.ts';
+
+let c: Cluster;
+
+describe('owners that end, and machines that nobody hears', () => {
+  afterEach(() => c.stop());
+
+  it('takes over a crashed node’s part and keeps its tasks where they are', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-30', 18);
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 18);
+    c.crash('b');
+    await c.clock.pass(10_000);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    assert.equal(c.onMachines().length, 18);
+    assert.equal(await workUntilDone(c, 'a', 'j-30'), 'done');
+    for (let i = 0; i < 18; i++) assert.equal(startsOf(c, `j-30/${String(i)}`), 1);
+    c.start('b');
+    await c.clock.pass(10_000);
+    assert.deepEqual(c.owned('b'), ['b'], 'handed back to its home');
+  });
+
+  it('starts nothing twice when a machine is unreachable through a takeover', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-31', 8, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const cut = c.workers.get('b1');
+    assert.equal(cut?.running().length, 4);
+    const its = cut.running();
+    // Nobody reaches the machine, and the cloud cannot be asked to return it.
+    c.mute.add('b1');
+    for (const zone of zones) {
+      c.fault(zone, cut.address, 'silent');
+      c.fault(zone, 'cloud:1', 'refused');
+    }
+    c.crash('b');
+    await c.clock.pass(LEASE_MS - 2000);
+    for (const w of c.workers.values()) if (w.id !== 'b1') for (const t of w.running()) w.finish(t);
+    await c.clock.pass(1500);
+    for (const task of its) assert.equal(startsOf(c, task), 1, 'its lease may still run');
+    // Past every lease that could run, they start elsewhere.
+    await c.clock.pass(CANCEL_MS + LEASE_MS);
+    assert.deepEqual(cut.running(), []);
+    for (const task of its) assert.equal(startsOf(c, task), 2);
+  });
+
+  it('frees the tasks of a silent machine as soon as the cloud has returned it', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-32', 4, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const [host] = [...c.workers.values()].filter((w) => w.running().length > 0);
+    assert.ok(host);
+    const its = host.running();
+    c.mute.add(host.id);
+    for (const zone of zones) c.fault(zone, host.address, 'silent');
+    await c.clock.pass(LEASE_MS - 2000);
+    assert.ok(c.cloud.returned.includes(host.id));
+    // The returned machine counts no more: these are starts on the other one.
+    for (const task of its) assert.equal(startsOf(c, task), 1);
+  });
+
+  it('hands a part on when its owner alone cannot reach the machines, and takes it back later', async () => {
+    c = await cluster();
+    c.addWorker('b3', 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-60', 12, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    const before = c.onMachines();
+    assert.equal(before.length, 12);
+    c.cutWorkers('b');
+    for (const id of ['b1', 'b2', 'b3']) c.fault('b', `worker-${id}:1`, 'silent');
+    await c.clock.pass(LEASE_MS);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    assert.deepEqual(c.onMachines(), before, 'no lease ran out and nothing was returned');
+    assert.deepEqual(c.cloud.returned, []);
+    c.cutWorkers(null);
+    for (const id of ['b1', 'b2', 'b3']) c.fault('b', `worker-${id}:1`, 'none');
+    await c.clock.pass(LEASE_MS);
+    assert.deepEqual(c.owned('b'), ['b']);
+    assert.equal(await workUntilDone(c, 'a', 'j-60'), 'done');
+    for (let i = 0; i < 12; i++) assert.equal(startsOf(c, `j-60/${String(i)}`), 1);
+  });
+
+  it('keeps the machines of a part that nobody reaches, and has them at work again when they are back', async () => {
+    c = await cluster();
+    c.addWorker('b3', 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    for (const id of ['b1', 'b2', 'b3']) {
+      c.mute.add(id);
+      for (const zone of zones) c.fault(zone, `worker-${id}:1`, 'silent');
+    }
+    await c.submit('a', 'j-62', 4, { sede: 'b' });
+    // Longer than every lease that could run.
+    await c.clock.pass(CANCEL_MS + LEASE_MS);
+    assert.deepEqual(c.cloud.returned, []);
+    for (const id of ['b1', 'b2', 'b3']) c.mute.delete(id);
+    for (const zone of zones) for (const id of ['b1', 'b2', 'b3']) c.fault(zone, `worker-${id}:1`, 'none');
+    await c.clock.pass(4 * REPORT_MS);
+    assert.deepEqual(c.cloud.returned, []);
+    assert.equal(c.onMachines().length, 4);
+  });
+
+  it('returns the silent machines of a part at once while others of it are heard', async () => {
+    c = await cluster();
+    for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    for (const id of ['b1', 'b2', 'b3']) {
+      c.mute.add(id);
+      for (const zone of zones) c.fault(zone, `worker-${id}:1`, 'silent');
+    }
+    await c.clock.pass(5 * REPORT_MS);
+    assert.deepEqual([...c.cloud.returned].sort(), ['b1', 'b2', 'b3']);
+    assert.deepEqual(c.owned('b'), ['b']);
+  });
+
+  it('does not let one machine that is gone hold up a part that was taken over', async () => {
+    c = await cluster();
+    for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-61', 20, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.equal(c.onMachines().length, 16, 'four tasks wait');
+    // While b1 may hold any task, none of the four can be told from those on it.
+    c.mute.add('b1');
+    for (const zone of zones) c.fault(zone, 'worker-b1:1', 'silent');
+    c.crash('b');
+    for (const w of c.workers.values()) if (w.id !== 'b1') for (const t of w.running()) w.finish(t);
+    await c.clock.pass(12_000);
+    assert.deepEqual(c.cloud.returned, ['b1']);
+    assert.equal(c.onMachines().length, 8, 'those that waited and those that were on it');
+  });
+
+  it('holds after a crash only what a machine not heard yet may run', async () => {
+    c = await cluster();
+    const spot = c.addWorker('b3', 'b', true);
+    await c.clock.pass(3 * REPORT_MS);
+    await c.submit('a', 'j-46', 16, { sede: 'b' });
+    await c.submit('a', 'j-47', 16, { sede: 'b', prestiti: true });
+    await c.clock.pass(2 * REPORT_MS);
+    assert.deepEqual(
+      spot.running().filter((task) => task.startsWith('j-46')),
+      [],
+      'it may not run there',
+    );
+    c.crash('b');
+    c.mute.add('b3');
+    for (const zone of zones) c.fault(zone, spot.address, 'silent');
+    for (const zone of zones) c.fault(zone, 'cloud:1', 'refused');
+    const ownTime = 4 * REPORT_MS;
+    await c.clock.pass(ownTime);
+    const started = (job: string): number =>
+      [...c.workers.values()].flatMap((w) => w.started).filter((s) => s.task.startsWith(job)).length;
+    const before = started('j-47');
+    for (const id of ['b1', 'b2']) {
+      const worker = c.workers.get(id);
+      for (const task of worker?.running() ?? []) worker?.finish(task);
+    }
+    await c.clock.pass(REPORT_MS);
+    assert.equal(started('j-46'), 16, 'what may not be on the silent machine went on');
+    assert.equal(started('j-47'), before, 'what may be there waits for it');
+    await c.clock.pass(LEASE_MS + 4 * REPORT_MS);
+    assert.equal(await workUntilDone(c, 'a', 'j-47'), 'done');
+  });
+
+  it('hands over what runs nowhere: a machine that does not answer the next owner holds none of it up', async () => {
+    c = await cluster();
+    for (const id of ['b3', 'b4']) c.addWorker(id, 'b');
+    await c.clock.pass(2 * REPORT_MS);
+    await c.submit('a', 'j-63', 20, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    c.crash('b');
+    await c.clock.pass(10_000);
+    assert.equal(c.onMachines().length, 16, 'taken over, four tasks wait');
+    const cut = c.workers.get('b1');
+    const its = cut?.running() ?? [];
+    assert.equal(its.length, 4);
+    c.mute.add('b1');
+    for (const zone of zones) {
+      c.fault(zone, 'worker-b1:1', 'silent');
+      c.fault(zone, 'cloud:1', 'refused');
+    }
+    c.start('b');
+    // Ready to own needs the catalogue, which comes from the cloud.
+    c.fault('b', 'cloud:1', 'none');
+    await c.clock.pass(6000);
+    assert.deepEqual(c.owned('b'), ['b']);
+    c.fault('b', 'cloud:1', 'refused');
+    for (const w of c.workers.values()) if (w.id !== 'b1') for (const t of w.running()) w.finish(t);
+    await c.clock.pass(2 * REPORT_MS);
+    const elsewhere = c.onMachines().filter((task) => !its.includes(task));
+    assert.equal(elsewhere.length, 4, 'those that waited run');
+    for (const task of its) assert.equal(startsOf(c, task), 1, 'those that may be on the machine do not');
+  });
+
+  it('asks no machine any more once one has told of a newer owner', async () => {
+    c = await cluster();
+    c.fault('b', 'state', 'silent');
+    await c.clock.pass(14_000);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    assert.ok(c.owned('b').includes('b'), 'its records do not show it');
+    const asked = (): number => [...c.workers.values()].reduce((sum, w) => sum + w.commands, 0);
+    const before = asked();
+    await c.clock.pass(3 * REPORT_MS);
+    assert.equal(asked(), before);
+  });
+
+  it('lets a stale owner’s late transaction fail', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-33', 2, { sede: 'b' });
+    await c.clock.pass(2 * REPORT_MS);
+    c.fault('b', 'state', 'held');
+    for (const w of c.workers.values()) for (const t of w.running().slice(0, 1)) w.finish(t);
+    await c.clock.pass(12_000);
+    assert.ok([...c.owned('a'), ...c.owned('c')].includes('b'));
+    const before = structuredClone(c.state.read('live/part/b'));
+    c.network.deliverHeld();
+    await c.clock.pass(1000);
+    assert.deepEqual(c.state.read('live/part/b'), before);
+    c.fault('b', 'state', 'none');
+    assert.equal(await workUntilDone(c, 'a', 'j-33'), 'done');
+  });
+
+  it('keeps tasks running through an outage in which every controller ends', async () => {
+    c = await cluster();
+    await c.submit('a', 'j-40', 18);
+    await c.clock.pass(2 * REPORT_MS);
+    c.state.down = true;
+    await c.clock.pass(2000);
+    for (const zone of zones) c.crash(zone);
+    await c.clock.pass(1000);
+    for (const zone of zones) c.start(zone);
+    await c.clock.pass(2000);
+    c.state.down = false;
+    await c.clock.pass(8000);
+    assert.equal(c.onMachines().length, 18);
+    assert.equal(await workUntilDone(c, 'a', 'j-40'), 'done');
+    for (let i = 0; i < 18; i++) assert.equal(startsOf(c, `j-40/${String(i)}`), 1);
+  });
+});
