Read once more: a hanging sibling holds no poll up; no part for a node of other settings

Cause: (a) a poll without contact waited for the round of vouching, 0.9 s where one sibling hangs, before it was passed on to one that could answer; (b) a node whose settings come to other parts had a lease for a while, so that a part could be handed back to it, and it took it; (c) every second the waits of all crowded slices were gone through before it was known whether any part has room; (d) the same fields, loops and flags stood twice.

--- a/packages/emulator/test/explore-command.test.ts
+++ b/packages/emulator/test/explore-command.test.ts
@@ -15,16 +15,6 @@
 }
 
 describe('the explore command', { concurrency: true }, () => {
-  const day = {
-    seed: 1,
-    zones: 1,
-    nodes: 1,
-    machines: 1,
-    capacity: 1,
-    pace: 0,
-    teamLimits: [0, 0, 0],
-    jobs: [],
-  };
   for (const [what, args, says] of [
     ['a number that is none', ['--seed', 'x'], /--seed/],
     ['no days', ['--days', '0'], /--days/],
@@ -32,7 +22,7 @@
     ['an unknown option', ['--sede', '1'], /--sede/],
     ['words that belong to no option', ['7'], /too many arguments/],
     ['a day that is no JSON', ['--day', '{'], /not JSON/],
-    ['a day without faults', ['--day', JSON.stringify(day)], /faults/],
+    ['a day without a seed', ['--day', '{}'], /seed/],
   ] as [string, string[], RegExp][]) {
     it(`answers ${what} with one clear line and exit code 2`, async () => {
       const { code, out, err } = await run(...args);
--- a/packages/emulator/test/recovery.test.ts
+++ b/packages/emulator/test/recovery.test.ts
@@ -236,6 +236,24 @@
   });
 });
 
+describe('a node of other settings among the rest', () => {
+  it('is given no part, though it has a lease at first, and the others go on with theirs', async () => {
+    const world = twoZones({ nodes: ['a', 'b'] });
+    await world.begin();
+    world.submit(inB, 40);
+    await world.run(5);
+    world.end(1);
+    world.deployment.nodes.push('b');
+    world.start(1);
+    // Long enough for a takeover, and for handing the part back to its home.
+    await world.run(40);
+    assert.equal(owner(world, 'b'), 0);
+    assert.deepEqual(world.owned(1), []);
+    await world.until('done', () => world.judge.finalState('j-1') === 'done', 60);
+    assert.equal(world.judge.repeated, 0);
+  });
+});
+
 describe('while nobody reaches the state service', () => {
   /** What a poll of the job is answered: its state, or the status. */
   async function poll(world: World, node: number, job: string): Promise<string | number> {
@@ -288,6 +306,34 @@
     assert.equal(await poll(world, 0, 'j-1'), 'running');
   });
 
+  it('a sibling that hangs does not hold up what another can answer at once', async () => {
+    const world = twoZones();
+    await world.begin();
+    world.submit(inB, 60);
+    await world.run(8);
+    world.network.cut('drop', (x, y) => x.name === 'node-0' && y.kind === 'state');
+    await world.run(5);
+    world.freeze(3, 20_000);
+    const askedAt = world.time.now;
+    const from: Host = {
+      name: 'user',
+      kind: 'users',
+      zone: null,
+      status: 'up',
+      clock: new HostClock(world.time, 0),
+    };
+    const call = {
+      address: '127.0.0.1:9000',
+      method: 'GET' as const,
+      path: '/v1/jobs/j-1',
+      deadlineMs: 2000,
+    };
+    let tookMs = Infinity;
+    void world.network.exchange(from, call).then(() => (tookMs = world.time.now - askedAt));
+    await world.run(2);
+    assert.ok(tookMs < 700, `answered after ${String(tookMs)} ms`);
+  });
+
   it('a node that is cut off alone tells no older state than the others', async () => {
     const world = twoZones();
     await world.begin();
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -124,7 +124,7 @@
 /** Share of a part's machines above which silence is laid to the owner: while others are heard, it is theirs. */
 export const SILENT_SHARE = 0.8;
 /**
- * Shares of a part's machines heard in a report interval before a question, and while it was asked in vain, above
+ * Shares of a part's machines heard shortly before a question, and around the time in which it was asked in vain, from
  * which a machine that does not answer is lost and not cut off: a fifth is far above none, and a few are heard in the
  * time of a call even where half of the part has died.
  */
@@ -201,6 +201,8 @@
 
 /** Milliseconds between two rounds of asking all siblings to vouch for jobs: one round serves all polls that wait. */
 export const VOUCH_GAP_MS = 100;
+/** Milliseconds that siblings have to answer one: a poll that comes during a round waits for two within its 2 s. */
+export const VOUCH_DEADLINE_MS = 400;
 /** Jobs asked about in one such round; those beyond it have the next. */
 export const VOUCH_MOST = 500;
 
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -389,6 +389,6 @@
 
   /** For tests and logs. */
   get ownedParts(): string[] {
-    return [...this.owned.owned.keys()];
+    return this.owned.names;
   }
 }
--- a/packages/scheduler/src/coordination/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs.ts
@@ -22,6 +22,7 @@
 } from '../protocol/users.ts';
 import type { Settings } from '../settings.ts';
 import type { Clock } from '../transport/clock.ts';
+import { firstAnswer } from '../transport/first-answer.ts';
 import { NoAnswer } from '../transport/http-client.ts';
 import type { Random } from '../transport/random.ts';
 import type { Averages } from './averages.ts';
@@ -93,11 +94,9 @@
     if (over) return this.final(op, id, over);
     const stale = this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
     if (stale) {
-      if (op !== 'withdraw' && (await this.context.vouched(id))) {
-        const tasks = this.context.openSpec(id)?.tasks ?? 0;
-        return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks })) };
-      }
-      const passed = await this.context.passOn(op, body);
+      // Side by side: a sibling that hangs must not hold up what another can answer at once.
+      const told = op === 'withdraw' ? [] : [this.vouchedView(id)];
+      const passed = await firstAnswer([this.context.passOn(op, body), ...told]);
       if (passed) return passed;
     }
     try {
@@ -114,6 +113,13 @@
     return this.context.openSpec(id) !== null && !this.over.has(id);
   }
 
+  /** The job as open, where all nodes vouch for it. */
+  private async vouchedView(id: string): Promise<UserAnswer | null> {
+    if (!(await this.context.vouched(id))) return null;
+    const tasks = this.context.openSpec(id)?.tasks ?? 0;
+    return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks })) };
+  }
+
   private final(op: UserOp, id: string, status: 'done' | 'cancelled'): UserAnswer {
     if (op !== 'status') return { status: 200, body: encodeState(id, status) };
     return { status: 200, body: encodeView({ id, status, done: 0, running: 0 }) };
--- a/packages/scheduler/src/coordination/membership.ts
+++ b/packages/scheduler/src/coordination/membership.ts
@@ -72,7 +72,9 @@
 
   isSelf(record: PartRecord): boolean {
     const { self } = this.context;
-    return record.owner === self.name && record.incarnation === self.incarnation;
+    // Of another layout it is nobody's here, whoever handed it over: its machines are not those that this node knows.
+    const alike = record.layout === this.context.parts.layout;
+    return alike && record.owner === self.name && record.incarnation === self.incarnation;
   }
 
   /** Nodes that are up, this one among them. */
@@ -147,6 +149,8 @@
 
   private async holdLease(): Promise<void> {
     const { store, log } = this.context;
+    // Let run out: nobody may take this node for one that parts can be given to.
+    if (this.foreign) return void (this.lease = null);
     try {
       if (this.lease !== null && !(await store.extend(this.lease))) {
         log.info({}, 'node lease ran out');
@@ -184,8 +188,7 @@
   }
 
   private async watchParts(): Promise<void> {
-    if (!this.loaded || this.lease === null) return;
-    if (this.isForeign()) return;
+    if (!this.loaded || this.isForeign() || this.lease === null) return;
     const { self } = this.context;
     const now = this.context.clock.now();
     for (const part of this.context.parts.names) {
--- a/packages/scheduler/src/coordination/moves.ts
+++ b/packages/scheduler/src/coordination/moves.ts
@@ -61,19 +61,20 @@
     );
     crowded.sort((a, b) => a.slice.crowdedSince - b.slice.crowdedSince);
     for (const { part, slice } of crowded) {
-      const movable = slice.movable;
-      const target = movable > 0 ? this.choose(part, slice, movable) : null;
+      const target = this.choose(part, slice);
       if (target) return this.move(part, slice, target.part, target.tasks);
     }
   }
 
   /** A part with idle machines for the tasks; or any with machines for them, if this one has had none for long. */
-  private choose(part: Part, slice: Slice, movable: number): { part: string; tasks: number } | null {
+  private choose(part: Part, slice: Slice): { part: string; tasks: number } | null {
     const { averages, clock, random } = this.context;
     const others = this.candidates(part, slice.spec);
     const idle = new Map(others.map((o) => [o.part, this.taken(slice.spec, o, 'idle')]));
     const withIdle = others.filter((o) => (idle.get(o.part) ?? 0) > 0).map((o) => o.part);
     if (withIdle.length > 0) {
+      const { movable } = slice;
+      if (movable === 0) return null;
       const to = averages.choose(withIdle, random);
       return { part: to, tasks: Math.min(movable, idle.get(to) ?? 0) };
     }
@@ -81,7 +82,9 @@
     if (!own || this.taken(slice.spec, own, 'open') > 0) return null;
     if (clock.now() - slice.crowdedSince < MOVE_LONE_MS) return null;
     const able = others.filter((o) => this.taken(slice.spec, o, 'open') > 0).map((o) => o.part);
-    if (able.length === 0) return null;
+    // Looked at last: a backlog has a hundred thousand waits, and mostly nothing that is idle.
+    const { movable } = slice;
+    if (able.length === 0 || movable === 0) return null;
     // By halves: what the next message of that part shows decides about the rest.
     return { part: averages.choose(able, random), tasks: Math.ceil(movable / 2) };
   }
--- a/packages/scheduler/src/coordination/owned-parts.ts
+++ b/packages/scheduler/src/coordination/owned-parts.ts
@@ -10,20 +10,14 @@
 import type { KnownPages } from '../bookkeeping/known-pages.ts';
 import type { OpenJobs } from '../bookkeeping/open-jobs.ts';
 import type { MachinesRecord, ProgressRecord } from '../bookkeeping/records.ts';
-import type { Replica, Store } from '../bookkeeping/store.ts';
 import type { MachineType } from '../protocol/cloud.ts';
 import type { Handover, MeshMessage, PartMessage } from '../protocol/mesh.ts';
-import type { Settings } from '../settings.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { HttpClient } from '../transport/http-client.ts';
 import type { Lateness } from '../transport/lateness.ts';
-import type { Random } from '../transport/random.ts';
-import type { Log } from '../transport/routine.ts';
 import type { Averages } from './averages.ts';
 import type { CloudCalls } from './cloud-calls.ts';
-import type { Limits } from './limits.ts';
 import type { Membership } from './membership.ts';
 import { Part } from './part.ts';
+import type { PartContext } from './part-context.ts';
 import type { PartMap } from './parts.ts';
 import { Renting } from './renting.ts';
 
@@ -34,29 +28,19 @@
   told: { idle: boolean; average: number; at: number };
 }
 
-export interface OwnedPartsContext {
-  settings: Settings;
-  clock: Clock;
-  /** Time of day, milliseconds. */
-  wallClock: () => number;
-  random: Random;
-  log: Log;
-  http: HttpClient;
+/** What a part needs, but for what is found out here, and what its owner needs besides. */
+export interface OwnedPartsContext extends Omit<
+  PartContext,
+  'typeOf' | 'lateSince' | 'takeFence' | 'onOutdated'
+> {
   signal: AbortSignal;
-  store: Store;
-  replica: Replica;
   membership: Membership;
   parts: PartMap;
-  limits: Limits;
   averages: Averages;
   cloud: CloudCalls;
   openJobs: OpenJobs;
   lateness: Lateness;
   catalog: () => MachineType[] | null;
-  servingOrder: () => Map<string, number>;
-  mayAct: () => boolean;
-  /** How long after its last proof of contact an owner may still answer reports. */
-  proofMs: number;
   /** What the replica has of the part's pages. */
   machinePages: KnownPages<MachinesRecord>;
   progressPages: KnownPages<ProgressRecord>;
@@ -67,7 +51,7 @@
 
 /** The parts that this node owns, from the moment the replica shows it to that in which it shows another owner. */
 export class OwnedParts {
-  readonly owned = new Map<string, Owned>();
+  private readonly owned = new Map<string, Owned>();
   /** What the last owner before told of each part. */
   private readonly handovers = new Map<string, Handover>();
   /** Calls to machines not fenced yet that may still be made in this tick, by all parts together. */
@@ -79,6 +63,10 @@
     return this.owned.get(name);
   }
 
+  get names(): string[] {
+    return [...this.owned.keys()];
+  }
+
   all(): Part[] {
     return [...this.owned.values()].map((owned) => owned.part);
   }
@@ -109,7 +97,7 @@
   }
 
   private begin(name: string, token: number): void {
-    const { settings, clock, random, log, http } = this.context;
+    const { settings, clock, log } = this.context;
     const abort = endless();
     const ends = AbortSignal.any([this.context.signal, abort.signal]);
     setMaxListeners(0, ends); // every open call of the part listens
@@ -120,21 +108,10 @@
       name,
       token,
       {
-        settings,
-        clock,
-        wallClock: this.context.wallClock,
-        random,
-        log,
-        http,
-        store: this.context.store,
-        replica: this.context.replica,
-        limits: this.context.limits,
+        ...this.context,
         typeOf: (type) => this.context.catalog()?.find((t) => t.name === type) ?? null,
-        servingOrder: this.context.servingOrder,
-        mayAct: this.context.mayAct,
         lateSince: (at) => this.context.lateness.since(at),
         takeFence: () => this.fences-- > 0,
-        proofMs: this.context.proofMs,
         onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
       },
       ends,
--- a/packages/scheduler/src/coordination/part-tasks.ts
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -27,6 +27,8 @@
       usage: TeamUsage;
       /** A task of the slice has its result. */
       onSettled: (slice: Slice) => void;
+      /** The first task of this owner is being started. */
+      onFirstStart: () => void;
       /** A task waits again. */
       onFreed: () => void;
     },
@@ -50,6 +52,7 @@
       graceS: 0,
       startedAt: now,
     });
+    if (this.counter === 1) this.part.onFirstStart();
     slice.place(position, key);
     machine.drift = booked(machine, (attempt) => attempt.phase !== 'seen');
     machine.emptySince = Infinity;
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -98,6 +98,7 @@
       slices,
       usage,
       onSettled: (slice) => this.records.noteSettled(slice),
+      onFirstStart: () => context.log.info({ part: name, afterS: afterS() }, 'first task started'),
       onFreed: () => this.schedulePlacing(),
     });
     this.orders = new MachineOrders(
@@ -118,7 +119,6 @@
         usage,
         mayAct,
         start: (...task) => this.tasks.start(...task),
-        onFirstStart: () => context.log.info({ part: name, afterS: afterS() }, 'first task started'),
         command: (machine) => this.orders.command(machine),
       },
       signal,
--- a/packages/scheduler/src/coordination/placing.ts
+++ b/packages/scheduler/src/coordination/placing.ts
@@ -16,7 +16,6 @@
   /** Whether a round is about to be made. */
   private scheduled = false;
   private placedAt = -Infinity;
-  private started = false;
   /** Work of lower priority is looked for once a tick, and not at every report. */
   private mayPreempt = false;
 
@@ -28,8 +27,6 @@
       usage: TeamUsage;
       mayAct: () => boolean;
       start: (machine: Machine, slice: Slice, position: number, now: number) => void;
-      /** The owner has started its first task. */
-      onFirstStart: () => void;
       command: (machine: Machine) => void;
     },
     private readonly signal: AbortSignal,
@@ -203,8 +200,6 @@
           break;
         }
         this.part.start(machine, slice, position, now);
-        if (!this.started) this.part.onFirstStart();
-        this.started = true;
         this.dropIdle(machine);
         touched.add(machine);
         const sum = used.get(spec.team);
--- a/packages/scheduler/src/coordination/reach.ts
+++ b/packages/scheduler/src/coordination/reach.ts
@@ -2,6 +2,7 @@
 import type { KnownPages } from '../bookkeeping/known-pages.ts';
 import type { MachinesRecord } from '../bookkeeping/records.ts';
 import { workerPaths } from '../protocol/workers.ts';
+import { firstAnswer } from '../transport/first-answer.ts';
 import type { HttpClient } from '../transport/http-client.ts';
 import type { Random } from '../transport/random.ts';
 import type { Membership } from './membership.ts';
@@ -44,28 +45,22 @@
   private async isReached(part: string): Promise<boolean> {
     const pages = this.context.machinePages.of(part);
     const machines = pages.flatMap(([, page]) => Object.values(page.machines));
-    const tried: Promise<boolean>[] = [];
+    const tried: Promise<true | null>[] = [];
     while (tried.length < REACH_TRIES && machines.length > 0) {
       const [machine] = machines.splice(this.context.random.below(machines.length), 1);
       if (machine) tried.push(this.answers(machine.endpoint));
     }
     if (tried.length === 0) return true;
     // The first answer is enough: the others may be waited for in vain.
-    const yes = tried.map(async (answered) => {
-      if (!(await answered)) throw new Error('no answer');
-    });
-    return Promise.any(yes).then(
-      () => true,
-      () => false,
-    );
+    return (await firstAnswer(tried)) !== null;
   }
 
-  private async answers(endpoint: string): Promise<boolean> {
+  private async answers(endpoint: string): Promise<true | null> {
     const { http, signal } = this.context;
     const call = { address: endpoint, method: 'GET' as const, path: workerPaths.inspect, signal };
     return http({ ...call, deadlineMs: COMMAND_DEADLINE_MS }).then(
-      (answer) => answer.status === 200,
-      () => false,
+      (answer) => (answer.status === 200 ? true : null),
+      () => null,
     );
   }
 }
--- a/packages/scheduler/src/coordination/vouching.ts
+++ b/packages/scheduler/src/coordination/vouching.ts
@@ -1,4 +1,4 @@
-import { FORWARD_DEADLINE_MS, VOUCH_GAP_MS, VOUCH_MOST } from '../constants.ts';
+import { VOUCH_DEADLINE_MS, VOUCH_GAP_MS, VOUCH_MOST } from '../constants.ts';
 import type { MeshMessage } from '../protocol/mesh.ts';
 import type { Clock } from '../transport/clock.ts';
 
@@ -73,7 +73,7 @@
     };
     this.round = round;
     const sent = siblings.every((peer) => sendToSibling(peer, { kind: 'vouch', id: round.id, jobs }));
-    if (sent && siblings.length > 0) await clock.sleep(FORWARD_DEADLINE_MS, round.ended.signal);
+    if (sent && siblings.length > 0) await clock.sleep(VOUCH_DEADLINE_MS, round.ended.signal);
     this.round = null;
     return round.open.size === 0 ? round.refused : null;
   }
