Coordination in folders by what is owned, a pure move

Change: six folders (ownership, recovery, placing, machines, limits, jobs); controller, part, part-context and part-tasks stay where they are. No line of code changed but imports.

--- a/packages/scheduler/src/coordination/job-ends.ts
+++ b/packages/scheduler/src/coordination/jobs/job-ends.ts
@@ -1,9 +1,9 @@
-import { FINISH_STEP_MS, RETRY_MS } from '../constants.ts';
-import type { OpenJob, OpenJobs } from '../bookkeeping/open-jobs.ts';
-import { jobKey, type JobRecord, openJobKey } from '../bookkeeping/records.ts';
-import type { Store } from '../bookkeeping/store.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Log } from '../transport/routine.ts';
+import { FINISH_STEP_MS, RETRY_MS } from '../../constants.ts';
+import type { OpenJob, OpenJobs } from '../../bookkeeping/open-jobs.ts';
+import { jobKey, type JobRecord, openJobKey } from '../../bookkeeping/records.ts';
+import type { Store } from '../../bookkeeping/store.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Log } from '../../transport/routine.ts';
 
 /** Ends jobs whose tasks are all settled. */
 export class JobEnds {
--- a/packages/scheduler/src/coordination/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -1,5 +1,11 @@
-import { CONTACT_STALE_MS, FINAL_CACHE, POLL_WAIT_MS, SHARING_GROUPS, WITHDRAW_TRIES } from '../constants.ts';
-import { fits } from '../bookkeeping/machines.ts';
+import {
+  CONTACT_STALE_MS,
+  FINAL_CACHE,
+  POLL_WAIT_MS,
+  SHARING_GROUPS,
+  WITHDRAW_TRIES,
+} from '../../constants.ts';
+import { fits } from '../../bookkeeping/machines.ts';
 import {
   jobKey,
   type JobRecord,
@@ -8,10 +14,10 @@
   readJob,
   sliceCapacity,
   type SliceRange,
-} from '../bookkeeping/records.ts';
-import type { Replica, Store } from '../bookkeeping/store.ts';
-import type { MachineType } from '../protocol/cloud.ts';
-import { type Condition, StateRefused, type Write } from '../protocol/state.ts';
+} from '../../bookkeeping/records.ts';
+import type { Replica, Store } from '../../bookkeeping/store.ts';
+import type { MachineType } from '../../protocol/cloud.ts';
+import { type Condition, StateRefused, type Write } from '../../protocol/state.ts';
 import {
   answers,
   encodeState,
@@ -19,14 +25,14 @@
   type JobSpec,
   type JobView,
   type UserAnswer,
-} from '../protocol/users.ts';
-import type { Settings } from '../settings.ts';
-import type { Clock } from '../transport/clock.ts';
-import { firstAnswer } from '../transport/first-answer.ts';
-import { NoAnswer } from '../transport/http-client.ts';
-import type { Random } from '../transport/random.ts';
-import type { Averages } from './averages.ts';
-import type { PartMap } from './parts.ts';
+} from '../../protocol/users.ts';
+import type { Settings } from '../../settings.ts';
+import type { Clock } from '../../transport/clock.ts';
+import { firstAnswer } from '../../transport/first-answer.ts';
+import { NoAnswer } from '../../transport/http-client.ts';
+import type { Random } from '../../transport/random.ts';
+import type { Averages } from '../placing/averages.ts';
+import type { PartMap } from '../ownership/parts.ts';
 
 export type UserOp = 'submit' | 'status' | 'withdraw';
 
--- a/packages/scheduler/src/coordination/limit-shifts.ts
+++ b/packages/scheduler/src/coordination/limits/limit-shifts.ts
@@ -1,11 +1,11 @@
-import { QUOTA_TURN_MS } from '../constants.ts';
-import { quotaKey, type QuotaRecord } from '../bookkeeping/records.ts';
-import type { Replica, Store } from '../bookkeeping/store.ts';
-import type { Condition } from '../protocol/state.ts';
-import type { Log } from '../transport/routine.ts';
-import type { Averages } from './averages.ts';
+import { QUOTA_TURN_MS } from '../../constants.ts';
+import { quotaKey, type QuotaRecord } from '../../bookkeeping/records.ts';
+import type { Replica, Store } from '../../bookkeeping/store.ts';
+import type { Condition } from '../../protocol/state.ts';
+import type { Log } from '../../transport/routine.ts';
+import type { Averages } from '../placing/averages.ts';
 import type { Limits } from './limits.ts';
-import type { Part } from './part.ts';
+import type { Part } from '../part.ts';
 
 /** Shifts share of the teams' limits between parts, each by the owner that gives it up. */
 export class LimitShifts {
--- a/packages/scheduler/src/coordination/limits.ts
+++ b/packages/scheduler/src/coordination/limits/limits.ts
@@ -1,5 +1,5 @@
-import type { Amounts, QuotaRecord } from '../bookkeeping/records.ts';
-import type { Team } from '../settings.ts';
+import type { Amounts, QuotaRecord } from '../../bookkeeping/records.ts';
+import type { Team } from '../../settings.ts';
 
 /**
  * Teams' limits, split over the parts. A part's share changes only by what this node's replica shows as
--- a/packages/scheduler/src/coordination/team-usage.ts
+++ b/packages/scheduler/src/coordination/limits/team-usage.ts
@@ -1,7 +1,7 @@
-import { quotaKey, type Amounts } from '../bookkeeping/records.ts';
-import { type Attempt, type Machine, room } from '../bookkeeping/machines.ts';
-import type { Slice } from '../bookkeeping/slices.ts';
-import type { Int } from '../protocol/json.ts';
+import { quotaKey, type Amounts } from '../../bookkeeping/records.ts';
+import { type Attempt, type Machine, room } from '../../bookkeeping/machines.ts';
+import type { Slice } from '../../bookkeeping/slices.ts';
+import type { Int } from '../../protocol/json.ts';
 import type { Limits } from './limits.ts';
 
 /** What each team uses of its limit in one part, and how much more of its share there it may use. */
--- a/packages/scheduler/src/coordination/catalog.ts
+++ b/packages/scheduler/src/coordination/machines/catalog.ts
@@ -1,7 +1,7 @@
-import { CATALOG_MS, RETRY_MS } from '../constants.ts';
-import type { MachineType } from '../protocol/cloud.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Log } from '../transport/routine.ts';
+import { CATALOG_MS, RETRY_MS } from '../../constants.ts';
+import type { MachineType } from '../../protocol/cloud.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Log } from '../../transport/routine.ts';
 import type { CloudCalls } from './cloud-calls.ts';
 
 /** The cloud's machine types, read again now and then: only prices change. */
--- a/packages/scheduler/src/coordination/cloud-calls.ts
+++ b/packages/scheduler/src/coordination/machines/cloud-calls.ts
@@ -1,9 +1,9 @@
-import { CLOUD_SHARE, RETRY_MS, RETURN_BATCH } from '../constants.ts';
-import type { Cloud, ListedMachine, RentResult } from '../protocol/cloud.ts';
-import { NoAnswer } from '../transport/http-client.ts';
-import type { Clock } from '../transport/clock.ts';
-import { Pace } from '../transport/pace.ts';
-import type { Log } from '../transport/routine.ts';
+import { CLOUD_SHARE, RETRY_MS, RETURN_BATCH } from '../../constants.ts';
+import type { Cloud, ListedMachine, RentResult } from '../../protocol/cloud.ts';
+import { NoAnswer } from '../../transport/http-client.ts';
+import type { Clock } from '../../transport/clock.ts';
+import { Pace } from '../../transport/pace.ts';
+import type { Log } from '../../transport/routine.ts';
 
 /** The cloud's calls of this node, kept below its share of the limit; returns go first and are batched. */
 export class CloudCalls {
--- a/packages/scheduler/src/coordination/machine-orders.ts
+++ b/packages/scheduler/src/coordination/machines/machine-orders.ts
@@ -6,13 +6,19 @@
   HEARD_BEFORE,
   HEARD_MEANWHILE,
   SILENT_REPORTS,
-} from '../constants.ts';
-import type { Machine } from '../bookkeeping/machines.ts';
-import { parseJson, stringifyJson } from '../protocol/json.ts';
-import { decodeReport, encodeCommands, type Order, type Report, workerPaths } from '../protocol/workers.ts';
-import { NoAnswer } from '../transport/http-client.ts';
-import type { PartContext } from './part-context.ts';
-import { attemptKey } from './part-tasks.ts';
+} from '../../constants.ts';
+import type { Machine } from '../../bookkeeping/machines.ts';
+import { parseJson, stringifyJson } from '../../protocol/json.ts';
+import {
+  decodeReport,
+  encodeCommands,
+  type Order,
+  type Report,
+  workerPaths,
+} from '../../protocol/workers.ts';
+import { NoAnswer } from '../../transport/http-client.ts';
+import type { PartContext } from '../part-context.ts';
+import { attemptKey } from '../part-tasks.ts';
 
 /** What a part's machines are told, in the answers to their reports and by calls of their own. */
 export class MachineOrders {
--- a/packages/scheduler/src/coordination/renting.ts
+++ b/packages/scheduler/src/coordination/machines/renting.ts
@@ -16,15 +16,15 @@
   SILENT_REPORTS,
   SILENT_SHARE,
   UNLISTED_MS,
-} from '../constants.ts';
-import { fits, type Machine } from '../bookkeeping/machines.ts';
-import type { ListedMachine, MachineType } from '../protocol/cloud.ts';
-import type { JobSpec } from '../protocol/users.ts';
-import type { Settings } from '../settings.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Log } from '../transport/routine.ts';
+} from '../../constants.ts';
+import { fits, type Machine } from '../../bookkeeping/machines.ts';
+import type { ListedMachine, MachineType } from '../../protocol/cloud.ts';
+import type { JobSpec } from '../../protocol/users.ts';
+import type { Settings } from '../../settings.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Log } from '../../transport/routine.ts';
 import type { CloudCalls } from './cloud-calls.ts';
-import type { Part } from './part.ts';
+import type { Part } from '../part.ts';
 
 interface Booting {
   type: MachineType;
--- a/packages/scheduler/src/coordination/membership.ts
+++ b/packages/scheduler/src/coordination/ownership/membership.ts
@@ -7,14 +7,14 @@
   REACH_TRIED_MS,
   SETTLE_MS,
   TAKEOVER_STEP_MS,
-} from '../constants.ts';
-import { nodeKey, type NodeRecord, partKey, type PartRecord } from '../bookkeeping/records.ts';
-import type { Replica, Store } from '../bookkeeping/store.ts';
-import type { Int } from '../protocol/json.ts';
-import type { Condition } from '../protocol/state.ts';
-import type { NodeAddress } from '../settings.ts';
-import type { Clock } from '../transport/clock.ts';
-import { type Log, routine } from '../transport/routine.ts';
+} from '../../constants.ts';
+import { nodeKey, type NodeRecord, partKey, type PartRecord } from '../../bookkeeping/records.ts';
+import type { Replica, Store } from '../../bookkeeping/store.ts';
+import type { Int } from '../../protocol/json.ts';
+import type { Condition } from '../../protocol/state.ts';
+import type { NodeAddress } from '../../settings.ts';
+import type { Clock } from '../../transport/clock.ts';
+import { type Log, routine } from '../../transport/routine.ts';
 import { hash, type PartMap } from './parts.ts';
 
 export interface MembershipContext {
--- a/packages/scheduler/src/coordination/owned-parts.ts
+++ b/packages/scheduler/src/coordination/ownership/owned-parts.ts
@@ -6,20 +6,20 @@
   IN_TIME_MS,
   MESH_BEAT_MS,
   OWNERSHIP_TICK_MS,
-} from '../constants.ts';
-import type { KnownPages } from '../bookkeeping/known-pages.ts';
-import type { OpenJobs } from '../bookkeeping/open-jobs.ts';
-import type { MachinesRecord, ProgressRecord } from '../bookkeeping/records.ts';
-import type { MachineType } from '../protocol/cloud.ts';
-import type { Handover, MeshMessage, PartMessage } from '../protocol/mesh.ts';
-import type { Lateness } from '../transport/lateness.ts';
-import type { Averages } from './averages.ts';
-import type { CloudCalls } from './cloud-calls.ts';
+} from '../../constants.ts';
+import type { KnownPages } from '../../bookkeeping/known-pages.ts';
+import type { OpenJobs } from '../../bookkeeping/open-jobs.ts';
+import type { MachinesRecord, ProgressRecord } from '../../bookkeeping/records.ts';
+import type { MachineType } from '../../protocol/cloud.ts';
+import type { Handover, MeshMessage, PartMessage } from '../../protocol/mesh.ts';
+import type { Lateness } from '../../transport/lateness.ts';
+import type { Averages } from '../placing/averages.ts';
+import type { CloudCalls } from '../machines/cloud-calls.ts';
 import type { Membership } from './membership.ts';
-import { Part } from './part.ts';
-import type { PartContext } from './part-context.ts';
+import { Part } from '../part.ts';
+import type { PartContext } from '../part-context.ts';
 import type { PartMap } from './parts.ts';
-import { Renting } from './renting.ts';
+import { Renting } from '../machines/renting.ts';
 
 export interface Owned {
   part: Part;
--- a/packages/scheduler/src/coordination/parts.ts
+++ b/packages/scheduler/src/coordination/ownership/parts.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { PART_CACHE } from '../constants.ts';
+import { PART_CACHE } from '../../constants.ts';
 
 /**
  * The parts of a deployment: its zones, each divided by a hash of the machine's name where there are more
--- a/packages/scheduler/src/coordination/reach.ts
+++ b/packages/scheduler/src/coordination/ownership/reach.ts
@@ -1,10 +1,10 @@
-import { COMMAND_DEADLINE_MS, REACH_TRIES } from '../constants.ts';
-import type { KnownPages } from '../bookkeeping/known-pages.ts';
-import type { MachinesRecord } from '../bookkeeping/records.ts';
-import { workerPaths } from '../protocol/workers.ts';
-import { firstAnswer } from '../transport/first-answer.ts';
-import type { HttpClient } from '../transport/http-client.ts';
-import type { Random } from '../transport/random.ts';
+import { COMMAND_DEADLINE_MS, REACH_TRIES } from '../../constants.ts';
+import type { KnownPages } from '../../bookkeeping/known-pages.ts';
+import type { MachinesRecord } from '../../bookkeeping/records.ts';
+import { workerPaths } from '../../protocol/workers.ts';
+import { firstAnswer } from '../../transport/first-answer.ts';
+import type { HttpClient } from '../../transport/http-client.ts';
+import type { Random } from '../../transport/random.ts';
 import type { Membership } from './membership.ts';
 
 /** Finds out whether this node reaches the machines of parts that it does not own. */
--- a/packages/scheduler/src/coordination/sibling-calls.ts
+++ b/packages/scheduler/src/coordination/ownership/sibling-calls.ts
@@ -1,10 +1,10 @@
-import { FORWARD_DEADLINE_MS } from '../constants.ts';
-import { parseJson, stringifyJson } from '../protocol/json.ts';
-import type { MeshMessage } from '../protocol/mesh.ts';
-import type { JobSpec, UserAnswer } from '../protocol/users.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Log } from '../transport/routine.ts';
-import type { UserOp } from './jobs.ts';
+import { FORWARD_DEADLINE_MS } from '../../constants.ts';
+import { parseJson, stringifyJson } from '../../protocol/json.ts';
+import type { MeshMessage } from '../../protocol/mesh.ts';
+import type { JobSpec, UserAnswer } from '../../protocol/users.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Log } from '../../transport/routine.ts';
+import type { UserOp } from '../jobs/jobs.ts';
 
 /** Users' requests that siblings carry out for one another. */
 export class SiblingCalls {
--- a/packages/scheduler/src/coordination/vouching.ts
+++ b/packages/scheduler/src/coordination/ownership/vouching.ts
@@ -1,6 +1,6 @@
-import { VOUCH_DEADLINE_MS, VOUCH_GAP_MS, VOUCH_MOST } from '../constants.ts';
-import type { MeshMessage } from '../protocol/mesh.ts';
-import type { Clock } from '../transport/clock.ts';
+import { VOUCH_DEADLINE_MS, VOUCH_GAP_MS, VOUCH_MOST } from '../../constants.ts';
+import type { MeshMessage } from '../../protocol/mesh.ts';
+import type { Clock } from '../../transport/clock.ts';
 
 interface Round {
   id: number;
--- a/packages/scheduler/src/coordination/part-context.ts
+++ b/packages/scheduler/src/coordination/part-context.ts
@@ -5,7 +5,7 @@
 import type { HttpClient } from '../transport/http-client.ts';
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
-import type { Limits } from './limits.ts';
+import type { Limits } from './limits/limits.ts';
 
 /** What a part needs of its controller. */
 export interface PartContext {
--- a/packages/scheduler/src/coordination/part-tasks.ts
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -10,7 +10,7 @@
 import type { Int } from '../protocol/json.ts';
 import { type EndReason, parseTaskName, type Report, taskName } from '../protocol/workers.ts';
 import type { PartContext } from './part-context.ts';
-import type { TeamUsage } from './team-usage.ts';
+import type { TeamUsage } from './limits/team-usage.ts';
 
 export const attemptKey = (task: string, number: Int): string => `${task}#${String(number)}`;
 
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -14,13 +14,13 @@
 import { type Int } from '../protocol/json.ts';
 import type { Handover } from '../protocol/mesh.ts';
 import { type Order, type Report } from '../protocol/workers.ts';
-import { MachineOrders } from './machine-orders.ts';
+import { MachineOrders } from './machines/machine-orders.ts';
 import type { PartContext } from './part-context.ts';
-import { PartRecords } from './part-records.ts';
+import { PartRecords } from './recovery/part-records.ts';
 import { PartTasks } from './part-tasks.ts';
-import { Placing } from './placing.ts';
-import { Suspects } from './suspects.ts';
-import { TeamUsage } from './team-usage.ts';
+import { Placing } from './placing/placing.ts';
+import { Suspects } from './recovery/suspects.ts';
+import { TeamUsage } from './limits/team-usage.ts';
 
 /**
  * A part as its owner keeps it: the machines, the slices, and who runs what. It lives from the moment the
--- a/packages/scheduler/src/coordination/averages.ts
+++ b/packages/scheduler/src/coordination/placing/averages.ts
@@ -1,7 +1,7 @@
-import { NO_MACHINES, SILENT_PART_MS } from '../constants.ts';
-import type { PartMessage } from '../protocol/mesh.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Random } from '../transport/random.ts';
+import { NO_MACHINES, SILENT_PART_MS } from '../../constants.ts';
+import type { PartMessage } from '../../protocol/mesh.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Random } from '../../transport/random.ts';
 
 /**
  * What this node knows of every part's load, from its owner's last message. It steers only where new
--- a/packages/scheduler/src/coordination/job-order.ts
+++ b/packages/scheduler/src/coordination/placing/job-order.ts
@@ -1,9 +1,9 @@
-import { ORDER_MS } from '../constants.ts';
-import type { OpenJobs } from '../bookkeeping/open-jobs.ts';
-import type { Settings } from '../settings.ts';
-import type { Clock } from '../transport/clock.ts';
+import { ORDER_MS } from '../../constants.ts';
+import type { OpenJobs } from '../../bookkeeping/open-jobs.ts';
+import type { Settings } from '../../settings.ts';
+import type { Clock } from '../../transport/clock.ts';
 import type { Averages } from './averages.ts';
-import type { Limits } from './limits.ts';
+import type { Limits } from '../limits/limits.ts';
 import { type Planned, servingOrder } from './waiting.ts';
 
 /** The order in which the open jobs' waits are served; reckoned anew after a while, and not at every report. */
--- a/packages/scheduler/src/coordination/moves.ts
+++ b/packages/scheduler/src/coordination/placing/moves.ts
@@ -1,18 +1,18 @@
-import { CONTACT_STALE_MS, MOVE_AFTER_MS, MOVE_LONE_MS, SLICES_MOST } from '../constants.ts';
-import { fits, machineKind } from '../bookkeeping/machines.ts';
-import { type OpenJobRecord, openJobKey, sliceName, type SliceRange } from '../bookkeeping/records.ts';
-import type { Slice } from '../bookkeeping/slices.ts';
-import type { Replica, Store } from '../bookkeeping/store.ts';
-import type { MachineType } from '../protocol/cloud.ts';
-import type { PartMessage } from '../protocol/mesh.ts';
-import { type Condition, StateRefused } from '../protocol/state.ts';
-import type { JobSpec } from '../protocol/users.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Random } from '../transport/random.ts';
-import type { Log } from '../transport/routine.ts';
+import { CONTACT_STALE_MS, MOVE_AFTER_MS, MOVE_LONE_MS, SLICES_MOST } from '../../constants.ts';
+import { fits, machineKind } from '../../bookkeeping/machines.ts';
+import { type OpenJobRecord, openJobKey, sliceName, type SliceRange } from '../../bookkeeping/records.ts';
+import type { Slice } from '../../bookkeeping/slices.ts';
+import type { Replica, Store } from '../../bookkeeping/store.ts';
+import type { MachineType } from '../../protocol/cloud.ts';
+import type { PartMessage } from '../../protocol/mesh.ts';
+import { type Condition, StateRefused } from '../../protocol/state.ts';
+import type { JobSpec } from '../../protocol/users.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Random } from '../../transport/random.ts';
+import type { Log } from '../../transport/routine.ts';
 import type { Averages } from './averages.ts';
-import type { Part } from './part.ts';
-import type { PartMap } from './parts.ts';
+import type { Part } from '../part.ts';
+import type { PartMap } from '../ownership/parts.ts';
 import { allows } from './placement.ts';
 
 interface Sent {
--- a/packages/scheduler/src/coordination/placement.ts
+++ b/packages/scheduler/src/coordination/placing/placement.ts
@@ -1,6 +1,6 @@
-import { type Attempt, type Machine, type Need, fits, room } from '../bookkeeping/machines.ts';
-import type { JobSpec } from '../protocol/users.ts';
-import type { Random } from '../transport/random.ts';
+import { type Attempt, type Machine, type Need, fits, room } from '../../bookkeeping/machines.ts';
+import type { JobSpec } from '../../protocol/users.ts';
+import type { Random } from '../../transport/random.ts';
 
 /** Whether the job allows the machine at all, whatever is on it. */
 export function allows(spec: JobSpec, machine: { typeName: string; zone: string; spot: boolean }): boolean {
--- a/packages/scheduler/src/coordination/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -1,10 +1,10 @@
-import { PLACE_GAP_MS, PREEMPT_SLACK_MS, SILENT_REPORTS } from '../constants.ts';
-import { type Machine, machineKind, type Need, room } from '../bookkeeping/machines.ts';
-import type { Amounts } from '../bookkeeping/records.ts';
-import type { Slice } from '../bookkeeping/slices.ts';
-import type { PartContext } from './part-context.ts';
+import { PLACE_GAP_MS, PREEMPT_SLACK_MS, SILENT_REPORTS } from '../../constants.ts';
+import { type Machine, machineKind, type Need, room } from '../../bookkeeping/machines.ts';
+import type { Amounts } from '../../bookkeeping/records.ts';
+import type { Slice } from '../../bookkeeping/slices.ts';
+import type { PartContext } from '../part-context.ts';
 import { Chooser, Evictor, Refusals } from './placement.ts';
-import type { TeamUsage } from './team-usage.ts';
+import type { TeamUsage } from '../limits/team-usage.ts';
 import { latestStart } from './waiting.ts';
 
 /** When a part's waiting tasks are given machines, and in which order. */
--- a/packages/scheduler/src/coordination/waiting.ts
+++ b/packages/scheduler/src/coordination/placing/waiting.ts
@@ -1,6 +1,6 @@
-import { HOPEFUL_RUN, NO_AIM_MS, OVERHEAD_MS, STARVING_MS } from '../constants.ts';
-import type { JobSpec } from '../protocol/users.ts';
-import type { Settings } from '../settings.ts';
+import { HOPEFUL_RUN, NO_AIM_MS, OVERHEAD_MS, STARVING_MS } from '../../constants.ts';
+import type { JobSpec } from '../../protocol/users.ts';
+import type { Settings } from '../../settings.ts';
 
 export interface Waiting {
   spec: JobSpec;
--- a/packages/scheduler/src/coordination/part-records.ts
+++ b/packages/scheduler/src/coordination/recovery/part-records.ts
@@ -1,6 +1,6 @@
-import { PAGE_BYTES, PROGRESS_MS, PROGRESS_SOON_MS } from '../constants.ts';
-import type { Machine } from '../bookkeeping/machines.ts';
-import { type Page, Pages } from '../bookkeeping/pages.ts';
+import { PAGE_BYTES, PROGRESS_MS, PROGRESS_SOON_MS } from '../../constants.ts';
+import type { Machine } from '../../bookkeeping/machines.ts';
+import { type Page, Pages } from '../../bookkeeping/pages.ts';
 import {
   type MachineRecord,
   type MachinesRecord,
@@ -8,14 +8,14 @@
   partKey,
   type ProgressRecord,
   progressPrefix,
-} from '../bookkeeping/records.ts';
-import type { Slice } from '../bookkeeping/slices.ts';
-import type { Lane, Replica, Store } from '../bookkeeping/store.ts';
-import { TaskSet } from '../bookkeeping/task-set.ts';
-import type { Int } from '../protocol/json.ts';
-import { type Condition, StateRefused } from '../protocol/state.ts';
-import type { Clock } from '../transport/clock.ts';
-import type { Log } from '../transport/routine.ts';
+} from '../../bookkeeping/records.ts';
+import type { Slice } from '../../bookkeeping/slices.ts';
+import type { Lane, Replica, Store } from '../../bookkeeping/store.ts';
+import { TaskSet } from '../../bookkeeping/task-set.ts';
+import type { Int } from '../../protocol/json.ts';
+import { type Condition, StateRefused } from '../../protocol/state.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { Log } from '../../transport/routine.ts';
 
 /** Bytes of a progress entry at its longest: six tasks a character, the name, and the signs around them. */
 const entryBytes = (name: string, tasks: number): number => Math.ceil(tasks / 6) + name.length + 12;
--- a/packages/scheduler/src/coordination/suspects.ts
+++ b/packages/scheduler/src/coordination/recovery/suspects.ts
@@ -1,6 +1,6 @@
-import { fits, type Machine, machineKind } from '../bookkeeping/machines.ts';
-import type { Slice } from '../bookkeeping/slices.ts';
-import { allows } from './placement.ts';
+import { fits, type Machine, machineKind } from '../../bookkeeping/machines.ts';
+import type { Slice } from '../../bookkeeping/slices.ts';
+import { allows } from '../placing/placement.ts';
 
 /**
  * The machines on which an owner before may have started tasks that nobody here knows of, and what must be held
--- a/packages/scheduler/test/units.test.ts
+++ b/packages/scheduler/test/units.test.ts
@@ -13,11 +13,11 @@
 import { Slice } from '../src/bookkeeping/slices.ts';
 import { sliceCapacity } from '../src/bookkeeping/records.ts';
 import { TaskSet } from '../src/bookkeeping/task-set.ts';
-import { Averages } from '../src/coordination/averages.ts';
+import { Averages } from '../src/coordination/placing/averages.ts';
 import { Part } from '../src/coordination/part.ts';
 import type { PartContext } from '../src/coordination/part-context.ts';
-import { partMap } from '../src/coordination/parts.ts';
-import { Evictor, pick, Refusals } from '../src/coordination/placement.ts';
+import { partMap } from '../src/coordination/ownership/parts.ts';
+import { Evictor, pick, Refusals } from '../src/coordination/placing/placement.ts';
 import { readOperatorSettings } from '../src/operator-settings.ts';
 import { parseJson, stringifyJson } from '../src/protocol/json.ts';
 import type { PartMessage } from '../src/protocol/mesh.ts';
@@ -29,7 +29,7 @@
 import { seededRandom } from '../src/transport/random.ts';
 import { VERSION } from '../src/version.ts';
 import manifest from '../../../package.json' with { type: 'json' };
-import { type Planned, servingOrder } from '../src/coordination/waiting.ts';
+import { type Planned, servingOrder } from '../src/coordination/placing/waiting.ts';
 import { job } from './cluster.ts';
 import { FakeClock } from './fakes.ts';
 
