Emulator: the state service can lose data, and the judge measures who is served

Change: StateService.lose (all, an older copy, a prefix, drawn keys; revisions back, on or beyond; leases gone or not), a fault and the explorer's size losses; what no living controller and not the store knows is excused and counted as unrecoverable, nothing else; unserved by class and team, of a dozen jobs on.

--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -11,6 +11,7 @@
 import { Cloud, type Capacity, type Rented } from './cloud.ts';
 import { EPOCH_MS, START_MS } from './constants.ts';
 import { Judge } from './judge.ts';
+import type { Loss } from './losses.ts';
 import { LoadBalancer } from './load-balancer.ts';
 import { type Host, Network } from './network.ts';
 import type { MachineTypeSpec } from './protocol/wire.ts';
@@ -43,6 +44,8 @@
 }
 
 interface Process {
+  /** When it began to serve; what was lost before then it never knew. */
+  servesFrom: number;
   host: Host;
   controller: Controller;
 }
@@ -69,6 +72,8 @@
   readonly balancer: LoadBalancer;
   private readonly processes = new Map<number, Process>();
   private starts = 0;
+  /** When data was lost that a controller still living may know. */
+  private lostAt: number | null = null;
   /** Worker sessions of machines that are gone, ended with tasks by their lease. */
   private lostSessions = 0;
 
@@ -165,7 +170,7 @@
         peers.filter((i) => this.processes.get(i) && this.meshOpen(host, i)).map((i) => this.name(i)),
       signal: never.signal,
     });
-    this.processes.set(node, { host, controller });
+    this.processes.set(node, { host, controller, servesFrom: this.time.now + START_MS });
     this.time.after(START_MS, () => {
       if (host.status !== 'up') return;
       const serve = httpApi(controller);
@@ -198,6 +203,29 @@
     process.host.clock.ended = true;
     this.network.forget(process.host);
     this.processes.delete(node);
+    this.noteSurvivors();
+  }
+
+  /** The state service loses data. */
+  lose(loss: Loss): void {
+    this.state.lose(loss);
+    this.lostAt = this.time.now;
+    this.noteSurvivors();
+  }
+
+  /**
+   * Where the last controller that knew what was lost has ended, and the state service does not have it either, nobody
+   * knows it any more: only that is excused, and counted.
+   */
+  private noteSurvivors(): void {
+    const { lostAt } = this;
+    if (lostAt === null) return;
+    if ([...this.processes.values()].some((process) => process.servesFrom < lostAt)) return;
+    this.lostAt = null;
+    this.judge.excuse(
+      (job) => this.state.read(`job/${job}`) !== undefined,
+      (job) => this.state.read(`live/job/${job}`) !== undefined,
+    );
   }
 
   /** The process stands still while its clocks run on. */
--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -35,6 +35,11 @@
 export const STATE_MS = 5;
 export const STATE_SLOW_MS = 300;
 export const STATE_SLOW_SHARE = 0.002;
+/** Milliseconds between copies of the state service's data to which a loss may go back, and how many are kept. */
+export const COPY_MS = 1000;
+export const COPIES_MOST = 120;
+/** Changes by which revisions go beyond those told before a loss, where they do. */
+export const REVISION_JUMP = 5000;
 /** Milliseconds for which a transaction without an answer may still be applied. */
 export const STATE_LATE_MS = 30_000;
 
@@ -104,6 +109,8 @@
 export const QUIET_S = 420;
 /** Virtual seconds after which a day is ended all the same: several times what the longest work on few CPUs takes. */
 export const LONGEST_S = 10_000;
+/** Jobs of a class or team from which half of them must be served: of fewer, one fault may hold up most. */
+export const UNSERVED_FEW = 12;
 /** Calls above a limit that are let pass: processes that start have full buckets each, and may start together. */
 export const OVER_LIMIT_SHARE = 0.03;
 export const OVER_LIMIT_FEW = 60;
--- a/packages/emulator/src/day-file.ts
+++ b/packages/emulator/src/day-file.ts
@@ -7,6 +7,14 @@
 const mode = z.enum(['drop', 'hold', 'reset', 'refuse']);
 const when = { atS: second, forS: second };
 
+const how = { revisions: z.enum(['back', 'on', 'beyond']), leases: z.boolean() };
+const loss = z.discriminatedUnion('of', [
+  z.object({ ...how, of: z.literal('all') }),
+  z.object({ ...how, of: z.literal('copy'), ageS: second }),
+  z.object({ ...how, of: z.literal('prefix'), prefix: z.string().check(z.minLength(1)) }),
+  z.object({ ...how, of: z.literal('keys'), count: z.int().check(z.minimum(1), z.maximum(1000)) }),
+]);
+
 const fault = z.discriminatedUnion('kind', [
   z.object({ ...when, kind: z.literal('end'), node: index }),
   z.object({ ...when, kind: z.literal('end all') }),
@@ -32,6 +40,7 @@
   z.object({ ...when, kind: z.literal('taken'), share, noticeS: second }),
   z.object({ ...when, kind: z.literal('slow boots'), factor: z.number().check(z.positive()) }),
   z.object({ ...when, kind: z.literal('no capacity') }),
+  z.object({ ...when, kind: z.literal('lose'), loss }),
 ]);
 
 const job = z.object({
--- a/packages/emulator/src/day.ts
+++ b/packages/emulator/src/day.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import type { Loss } from './losses.ts';
 import type { CutMode } from './network.ts';
 
 /** What goes wrong on a day, and when; times in virtual seconds, hosts and shares resolved by the cluster at hand. */
@@ -26,6 +27,7 @@
   | { kind: 'taken'; share: number; noticeS: number }
   | { kind: 'slow boots'; factor: number }
   | { kind: 'no capacity' }
+  | { kind: 'lose'; loss: Loss }
 );
 
 /** A job as a day draws it. */
@@ -78,9 +80,13 @@
 /**
  * `storm`: few machines, and as much going wrong and waiting at once as fits. `silence`: machines that nobody hears and
  * nobody can return, under tasks longer than a lease, so that it is the end of their leases that frees tasks.
- * `strangers`: controllers and zones that are there and cannot reach what the others do.
+ * `strangers`: controllers and zones that are there and cannot reach what the others do. `losses`: the state service's
+ * data is lost, in part or whole, while other things fail.
  */
-export const sizes: Record<'small' | 'storm' | 'silence' | 'strangers' | 'middle' | 'fleet', Size> = {
+export const sizes: Record<
+  'small' | 'storm' | 'silence' | 'strangers' | 'losses' | 'middle' | 'fleet',
+  Size
+> = {
   small: {
     zones: [1, 3],
     nodes: [1, 5],
@@ -120,6 +126,29 @@
     spanS: 40,
     only: ['refused', 'cut', 'zone cut', 'zones apart', 'late transactions'],
   },
+  losses: {
+    zones: [1, 3],
+    nodes: [2, 5],
+    machines: [2, 4],
+    jobs: [6, 14],
+    tasks: 30,
+    faults: [1, 5],
+    spanS: 60,
+    only: [
+      'lose',
+      'end',
+      'end all',
+      'rolling',
+      'freeze',
+      'outage',
+      'refused',
+      'late transactions',
+      'cut',
+      'zone cut',
+      'hang',
+      'die',
+    ],
+  },
   middle: {
     zones: [1, 3],
     nodes: [2, 6],
@@ -142,6 +171,40 @@
 
 const modes: CutMode[] = ['drop', 'hold', 'reset', 'refuse'];
 
+function losses(): fc.Arbitrary<Loss> {
+  const of = fc.oneof(
+    { weight: 3, arbitrary: fc.constant({ of: 'all' as const }) },
+    {
+      weight: 4,
+      arbitrary: fc.record({ of: fc.constant('copy' as const), ageS: fc.integer({ min: 0, max: 60 }) }),
+    },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        of: fc.constant('prefix' as const),
+        prefix: fc.constantFrom(
+          'job/',
+          'live/',
+          'live/job/',
+          'live/machines/',
+          'live/progress/',
+          'live/part/',
+          'live/quota/',
+        ),
+      }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({ of: fc.constant('keys' as const), count: fc.integer({ min: 1, max: 4 }) }),
+    },
+  );
+  const how = fc.record({
+    revisions: fc.constantFrom('back' as const, 'back' as const, 'on' as const, 'beyond' as const),
+    leases: fc.boolean(),
+  });
+  return fc.tuple(of, how).map(([what, rest]) => ({ ...what, ...rest }));
+}
+
 /** Days of a size, with every kind of fault and any overlap of them. */
 export function days(size: Size): fc.Arbitrary<Day> {
   const int = (min: number, max: number): fc.Arbitrary<number> => fc.integer({ min, max });
@@ -188,8 +251,10 @@
     kind(2, 'taken', { share, noticeS: fc.constantFrom(0, 10, 25) }),
     kind(1, 'slow boots', { factor: fc.constantFrom(2, 4) }),
     kind(1, 'no capacity', {}),
+    // The protocol promises a store that loses nothing: only the size that is about losses has them.
+    kind(14, 'lose', { loss: losses() }),
   ];
-  const wanted = kinds.filter(({ name }) => size.only?.includes(name) ?? true);
+  const wanted = kinds.filter(({ name }) => size.only?.includes(name) ?? name !== 'lose');
   const fault = fc.oneof(
     ...wanted.map(({ weight, name, fields }) => ({
       weight,
--- a/packages/emulator/src/explore.ts
+++ b/packages/emulator/src/explore.ts
@@ -1,7 +1,7 @@
 import { Command, InvalidArgumentError } from 'commander';
 import { availableParallelism } from 'node:os';
 import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads';
-import { SHRINK_MS, SHRUNK_MOST } from './constants.ts';
+import { SHRINK_MS, SHRUNK_MOST, UNSERVED_FEW } from './constants.ts';
 import type { Day } from './day.ts';
 import { readDay } from './day-file.ts';
 import { daySeed, type Explored, explore, runDigest, shrink, type SizeName } from './explorer.ts';
@@ -107,6 +107,14 @@
     `${String(found.length)} days, ${String(sum((e) => e.day.faults.length))} faults, ${String(sum((e) => e.outcome.started))} tasks started, ` +
       `${(virtualS / 3600).toFixed(1)} virtual hours, ${(virtualS / seconds).toFixed(0)} virtual seconds a second`,
   );
+  const shares = found.flatMap(({ explored: { outcome } }) =>
+    [...Object.values(outcome.served.classes), ...Object.values(outcome.served.teams)]
+      .filter(({ asked }) => asked >= UNSERVED_FEW)
+      .map((s) => s.served / s.asked),
+  );
+  line(`least of a class or team served on a day: ${Math.min(1, ...shares).toFixed(2)}`);
+  const lost = sum((e) => Object.values(e.outcome.unrecoverable).reduce((n, each) => n + each, 0));
+  if (lost > 0) line(`${String(lost)} facts that nobody could know any more`);
   line(`${String(failed.length)} days broke a rule`);
   for (const [i, { number, explored }] of failed.entries()) {
     const rule = explored.outcome.violations[0]?.rule ?? '';
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -18,6 +18,7 @@
 
   /** Sets a fault up to begin at its time, counted from `fromMs`. */
   plan(fault: Fault, fromMs: number): void {
+    if (fault.kind === 'lose') this.cluster.state.keepCopies();
     this.cluster.time.at(fromMs + fault.atS * 1000, () => this.begin(fault));
   }
 
@@ -119,6 +120,9 @@
       case 'slow boots':
         cloud.bootFactor = fault.factor;
         return () => (cloud.bootFactor = 1);
+      case 'lose':
+        cluster.lose(fault.loss);
+        return null;
       case 'no capacity':
         cloud.dry = true;
         return () => (cloud.dry = false);
--- a/packages/emulator/src/state-service.ts
+++ b/packages/emulator/src/state-service.ts
@@ -12,15 +12,11 @@
   TXN_BYTES,
 } from './constants.ts';
 import { Bucket } from './bucket.ts';
+import { Copies, type Loss, lost, type Stored } from './losses.ts';
 import type { Host, Reply, Request } from './network.ts';
 import { readLife, readTxn, stateWords, type Txn } from './protocol/wire.ts';
 import type { Timer, VirtualTime } from './time.ts';
 
-interface Stored {
-  text: string;
-  version: number;
-  lease: number | null;
-}
 interface Lease {
   lifeMs: number;
   holder: Host;
@@ -45,7 +41,9 @@
 
 /** The state service, by PROTOCOL "Controller nodes -> state service" and "Outages and cuts". */
 export class StateService {
-  private readonly data = new Map<string, Stored>();
+  private data = new Map<string, Stored>();
+  /** Kept only where a loss may go back to one. */
+  private copies: Copies | null = null;
   private readonly leases = new Map<number, Lease>();
   private readonly watches = new Set<Watch>();
   private readonly history: { revision: number; key: string; text: string }[] = [];
@@ -91,6 +89,34 @@
     }
   }
 
+  /** From now on a loss may go back to the data as it was. */
+  keepCopies(): void {
+    this.copies ??= new Copies();
+  }
+
+  /** Data is lost, and with it what was kept for those who follow; nobody is told. */
+  lose(loss: Loss): void {
+    const copies = this.copies ?? new Copies();
+    const after = lost(
+      loss,
+      this.time.now,
+      { data: this.data, revision: this.revision },
+      copies,
+      this.random,
+    );
+    this.data = after.data;
+    this.revision = after.revision;
+    this.history.length = 0;
+    if (loss.leases) {
+      for (const lease of this.leases.values()) lease.timer.cancel();
+      this.leases.clear();
+      if (loss.revisions === 'back') this.leaseCount = 0;
+    }
+    for (const [key, { lease }] of this.data) {
+      if (lease !== null && !this.leases.has(lease)) this.data.delete(key);
+    }
+  }
+
   /** One node alone gets 503 for a while; its leases run out meanwhile and its watches wait. */
   setRefused(node: Host, refused: boolean): void {
     if (refused) this.refused.add(node);
@@ -172,6 +198,7 @@
       return { status: 400, body: '{"error":"no such lease"}' };
     }
     if (failed.length > 0) return { status: 409, body: stateWords.conflict(failed, this.revision) };
+    this.copies?.take(this.time.now, this.revision, this.data);
     if (txn.writes.length > 0) this.revision++;
     for (const write of txn.writes) {
       if (write.op === 'remove') this.remove(write.key);
--- a/packages/emulator/test/explorer.test.ts
+++ b/packages/emulator/test/explorer.test.ts
@@ -7,7 +7,8 @@
 import { playDay } from '../src/play.ts';
 import { VirtualTime } from '../src/time.ts';
 import type { Worker } from '../src/worker.ts';
-import { newWork, type Workload } from '../src/workload.ts';
+import { served } from '../src/served.ts';
+import { newWork, type Work, type Workload } from '../src/workload.ts';
 
 /** Days of the explorer's small size that the check plays; the long run is in docs/emulator.md. */
 const DAYS = 8;
@@ -83,6 +84,25 @@
       time.at(10, () => told(j, 404, null, 5));
     };
     assert.deepEqual(await broken(lost), ['forgotten']);
+    const excused = (j: Judge, time: VirtualTime): void => {
+      told(j, 201, 'queued');
+      j.excuse(
+        () => false,
+        () => false,
+      );
+      time.at(10, () => told(j, 404, null, 5));
+      assert.equal(j.unrecoverable['acceptance'], 1);
+    };
+    assert.deepEqual(await broken(excused), [], 'nobody can know it any more');
+    const kept = (j: Judge, time: VirtualTime): void => {
+      told(j, 201, 'queued');
+      j.excuse(
+        () => true,
+        () => true,
+      );
+      time.at(10, () => told(j, 404, null, 5));
+    };
+    assert.deepEqual(await broken(kept), ['forgotten'], 'the state service still has it');
     assert.deepEqual(await broken((j) => j.onAnswer('j-2', 'poll', 0, 200, 'queued')), ['invented']);
   });
 
@@ -110,6 +130,28 @@
     assert.equal(new Set(digests[0]).size, DAYS, 'no two days alike');
   });
 
+  it('counts what was served of each class and team, of what could be', () => {
+    const work = (id: string, more: object): Work =>
+      ({
+        spec: { id, class: 'short', team: 'red', kind: 'batch', ...more },
+        submitted: true,
+        broken: false,
+      }) as Work;
+    const works = [
+      work('1', {}),
+      work('2', { team: 'blue' }),
+      work('3', {}),
+      work('4', {}),
+      work('5', { kind: 'service' }),
+    ];
+    const final = (id: string): 'done' | 'cancelled' | null =>
+      id === '1' ? 'done' : id === '3' ? 'cancelled' : null;
+    assert.deepEqual(served(works, { finalState: final, isRefused: (id) => id === '4' }), {
+      classes: { short: { asked: 2, served: 1 } },
+      teams: { red: { asked: 1, served: 1 }, blue: { asked: 1, served: 0 } },
+    });
+  });
+
   it('plays a day again from its text, and names the field that is bad', async () => {
     const { day, outcome } = await explore('small', daySeed(1, 0));
     const again = await playDay(readDay(JSON.stringify(day)), { stopAtFirst: true });
--- a/packages/emulator/test/systems.test.ts
+++ b/packages/emulator/test/systems.test.ts
@@ -177,6 +177,47 @@
   });
 });
 
+describe('state service that loses data', () => {
+  const put = async (service: StateService, key: string): Promise<void> => {
+    const body = JSON.stringify({ when: [], writes: [{ put: key, v: 1 }] });
+    const from = host('node', 'node');
+    await within(2000, service.serve({ from, method: 'POST', path: '/txn', body }));
+  };
+  const made = async (): Promise<StateService> => {
+    const service = new StateService(time, seededRandom(1), {
+      rps: 100,
+      writeRps: 100,
+      valueKb: 8,
+      txnOps: 12,
+    });
+    service.keepCopies();
+    for (const key of ['a/1', 'a/2', 'b/1']) await put(service, key);
+    return service;
+  };
+  const revision = async (service: StateService): Promise<number> => {
+    const request = { from: host('node', 'node'), method: 'GET' as const, path: '/kv/none', body: '' };
+    const reply = await within(500, service.serve(request));
+    return (JSON.parse(reply?.body ?? '{}') as { protocollo: number }).protocollo;
+  };
+
+  it('has what its loss leaves, and goes on with revisions as the loss says', async () => {
+    const how = { revisions: 'back', leases: true } as const;
+    const all = await made();
+    all.lose({ ...how, of: 'all' });
+    assert.deepEqual([all.keys(''), await revision(all)], [[], 1]);
+    const copy = await made();
+    copy.lose({ ...how, of: 'copy', ageS: 3 });
+    assert.deepEqual([copy.keys(''), await revision(copy)], [['a/1'], 2]);
+    const prefix = await made();
+    prefix.lose({ ...how, revisions: 'on', of: 'prefix', prefix: 'a/' });
+    assert.deepEqual([prefix.keys(''), await revision(prefix)], [['b/1'], 4]);
+    const keys = await made();
+    keys.lose({ ...how, revisions: 'beyond', of: 'keys', count: 1 });
+    assert.equal(keys.keys('').length, 2);
+    assert.ok((await revision(keys)) > 1000);
+  });
+});
+
 const small = {
   name: 's',
   cores: 8,
