--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -12,6 +12,8 @@
   put: string;
   /** The kind of days on which it shows soonest. */
   size: Explorer.SizeName;
+  /** Of its days; 1 without it. */
+  seed?: number;
 }
 
 const root = fileURLToPath(new URL('../../..', import.meta.url));
@@ -53,7 +55,7 @@
 const { explore, daySeed } = require(workerData.outfile);
 (async () => {
   for (let number = 0; number < workerData.days; number++) {
-    const { outcome } = await explore(workerData.size, daySeed(1, number));
+    const { outcome } = await explore(workerData.size, daySeed(workerData.seed, number));
     // A broken rule, and not only work that goes on too slowly.
     const first = outcome.violations.find((v) => v.rule !== 'stuck');
     if (first) return parentPort.postMessage({ rule: first.rule, days: number + 1 });
@@ -64,7 +66,10 @@
 /** The rule that the mutant broke and the days that took, or null where none was broken in so many days. */
 export async function caught(mutant: Mutant, days: number): Promise<{ rule: string; days: number } | null> {
   const outfile = await mutated(mutant);
-  const worker = new Worker(hunt, { eval: true, workerData: { outfile, size: mutant.size, days } });
+  const worker = new Worker(hunt, {
+    eval: true,
+    workerData: { outfile, size: mutant.size, days, seed: mutant.seed ?? 1 },
+  });
   try {
     return await new Promise((resolve, reject) => {
       worker.once('message', resolve);
@@ -79,8 +84,8 @@
   {
     name: 'fencing token ignored',
     file: 'coordination/ownership/membership.ts',
-    find: 'token: (before?.token ?? 0) + 1',
-    put: 'token: before?.token ?? 1',
+    find: 'token: Math.max(before?.token ?? 0, this.context.floor()) + 1',
+    put: 'token: before?.token ?? this.context.floor() + 1',
     size: 'strangers',
   },
   {
@@ -152,5 +157,6 @@
     find: "if (time === 'again' || !(error instanceof StateRefused)) {",
     put: "if (time === 'again') {",
     size: 'strangers',
+    seed: 3,
   },
 ];
--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -1,16 +1,19 @@
 import {
+  ACCEPTED_MOST,
   CONTACT_STALE_MS,
   FINAL_CACHE,
   POLL_WAIT_MS,
   SHARING_GROUPS,
   WITHDRAW_TRIES,
 } from '../../constants.ts';
+import { unpackIds } from '../../bookkeeping/id-set.ts';
 import { fits } from '../../bookkeeping/machines.ts';
 import {
   jobKey,
   type JobRecord,
   openJobKey,
   type OpenJobRecord,
+  type OverRecord,
   readJob,
   sliceCapacity,
   type SliceRange,
@@ -51,6 +54,12 @@
   openSpec: (job: string) => JobSpec | null;
   /** Tasks left of the job and tasks on machines, as far as known here. */
   progress: (job: string) => { left: number; running: number };
+  /** Whether a job that is not in the records was certainly never accepted. */
+  mayDeny: () => boolean;
+  /** Whether a job that is not in the records may be accepted: nothing of it can be left over from before a loss. */
+  mayAccept: () => boolean;
+  /** Compares the records: throws where data is lost. */
+  verify: () => Promise<void>;
   /** Whether all nodes vouch for the job as open; asked of all of them from now on. */
   vouched: (job: string) => Promise<boolean>;
   /** Asks a sibling that may reach the state service; null if none answered. */
@@ -63,6 +72,12 @@
  */
 export class Jobs {
   private readonly over = new Map<string, 'done' | 'cancelled'>();
+  /** Ends that the records showed; `done` where no task was left, which a withdrawal may have come before. */
+  private readonly seen = new Map<string, 'done' | 'cancelled'>();
+  /** Written back after a loss: kept as long as their records are. */
+  private readonly past = new Map<string, 'done' | 'cancelled'>();
+  /** Accepted here and not shown by the replica yet: if data is lost now, nobody else knows of them. */
+  readonly accepted = new Map<string, OpenJobRecord>();
 
   constructor(private readonly context: JobsContext) {}
 
@@ -96,9 +111,10 @@
     here: () => Promise<UserAnswer>,
   ): Promise<UserAnswer> {
     const id = typeof body === 'string' ? body : body.id;
-    const over = this.over.get(id);
+    const over = this.finalOf(id);
     if (over) return this.final(op, id, over);
-    const stale = this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
+    const lost = this.context.store.lineage.epoch === null;
+    const stale = lost || this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
     if (stale) {
       // Side by side: a sibling that hangs must not hold up what another can answer at once.
       const told = op === 'withdraw' ? [] : [this.vouchedView(id)];
@@ -116,7 +132,27 @@
 
   /** Whether this node knows the job as accepted, and of no end of it. */
   knowsOpen(id: string): boolean {
-    return this.context.openSpec(id) !== null && !this.over.has(id);
+    return this.context.openSpec(id) !== null && this.finalOf(id) === undefined;
+  }
+
+  finalOf(id: string): 'done' | 'cancelled' | undefined {
+    return this.over.get(id) ?? this.past.get(id);
+  }
+
+  /** What this node knows of jobs that are over. */
+  get finals(): ReadonlyMap<string, 'done' | 'cancelled'> {
+    return new Map([...this.seen, ...this.over]);
+  }
+
+  /** The records show that the job is over: only its end leaves none of its tasks. */
+  noteEnd(id: string, left: number): void {
+    keep(this.seen, id, left === 0 ? 'done' : 'cancelled');
+  }
+
+  /** Jobs that were over before a loss, as records tell of them that every node reads. */
+  notePast(record: OverRecord): void {
+    for (const id of unpackIds(record.done)) this.past.set(id, 'done');
+    for (const id of unpackIds(record.cancelled)) this.past.set(id, 'cancelled');
   }
 
   /** The job as open, where all nodes vouch for it. */
@@ -131,23 +167,40 @@
     return { status: 200, body: encodeView({ id, status, done: 0, running: 0 }) };
   }
 
-  private remember(id: string, status: 'done' | 'cancelled'): void {
-    this.over.set(id, status);
-    if (this.over.size <= FINAL_CACHE) return;
-    for (const oldest of this.over.keys()) {
-      this.over.delete(oldest);
-      break;
-    }
+  /** The job is over. */
+  remember(id: string, status: 'done' | 'cancelled'): void {
+    keep(this.over, id, status);
   }
 
   private async read(id: string): Promise<{ job: JobRecord; condition: Condition } | null> {
     const entry = await this.context.store.get(jobKey(id), 'user');
-    if (!entry) return null;
+    const over = this.finalOf(id);
+    if (!entry) return this.unread(id, over);
     const job = readJob(entry.value);
+    if (job.status === 'open' && (over || this.seen.has(id)))
+      this.context.store.lineage.lose(`${id} is over, and is shown as open`);
+    this.context.store.lineage.need();
+    // Of an older copy that has come back, this may be the first answer.
+    if (job.status === 'open' && this.context.openSpec(id) === null) await this.context.verify();
     if (job.status !== 'open') this.remember(id, job.status);
     return { job, condition: { key: entry.key, version: entry.version } };
   }
 
+  /** A job of which there is no record: lost, if this node knows of it; else never accepted, if that is certain. */
+  private async unread(
+    id: string,
+    over: 'done' | 'cancelled' | undefined,
+  ): Promise<{ job: JobRecord; condition: Condition } | null> {
+    const condition = { key: jobKey(id), version: 0 };
+    const past = this.past.get(id);
+    if (past) return { job: { status: past, tasks: 0 }, condition };
+    // A job's state is never removed: to go on by its open record alone would be to decide by half of what is left.
+    if (over || this.context.openSpec(id)) this.context.store.lineage.lose(`the state of ${id} is gone`);
+    await this.context.verify();
+    if (!this.context.mayDeny()) throw new StateRefused('not known yet');
+    return null;
+  }
+
   private view(id: string, job: JobRecord): JobView {
     if (job.status !== 'open') {
       return { id, status: job.status, done: job.status === 'done' ? job.tasks : 0, running: 0 };
@@ -177,6 +230,10 @@
       if (known) return { status: 200, body: encodeView(this.view(spec.id, known.job)) };
       return never === null ? answers.undecided : { status: 422, body: { error: never } };
     }
+    if (!this.context.mayAccept()) {
+      const known = await this.read(spec.id);
+      return known ? { status: 200, body: encodeView(this.view(spec.id, known.job)) } : answers.undecided;
+    }
     const job: JobRecord = { status: 'open', tasks: spec.tasks };
     const open: OpenJobRecord = {
       spec,
@@ -188,8 +245,13 @@
       { op: 'put', key: openJobKey(spec.id), value: open },
     ];
     try {
-      const result = await this.context.store.txn([{ key: jobKey(spec.id), version: 0 }], writes, 'user');
-      if (result.kind === 'committed') return { status: 201, body: encodeState(spec.id, 'queued') };
+      // Its open record alone may be left: then it was accepted before, and is not divided anew.
+      const unknown = [jobKey(spec.id), openJobKey(spec.id)].map((key) => ({ key, version: 0 }));
+      const result = await this.context.store.txn(unknown, writes, 'user');
+      if (result.kind === 'committed') {
+        this.keepAccepted(spec.id, open);
+        return { status: 201, body: encodeState(spec.id, 'queued') };
+      }
     } catch (error) {
       // Unknown whether it was applied: only what is read back may be told.
       if (!(error instanceof NoAnswer)) throw error;
@@ -198,6 +260,13 @@
     return known ? { status: 200, body: encodeView(this.view(spec.id, known.job)) } : answers.undecided;
   }
 
+  private keepAccepted(id: string, record: OpenJobRecord): void {
+    if (this.context.replica.version(openJobKey(id)) !== 0) return;
+    this.accepted.set(id, record);
+    if (this.accepted.size <= ACCEPTED_MOST) return;
+    for (const oldest of this.accepted.keys()) return void this.accepted.delete(oldest);
+  }
+
   /** Why the job can never run, or null if it can. */
   private neverRuns(spec: JobSpec, catalog: MachineType[]): string | null {
     const team = this.context.settings.teams.get(spec.team);
@@ -279,3 +348,10 @@
     return answers.undecided;
   }
 }
+
+/** Notes a job's end; the oldest is given up where there are too many. */
+function keep(ends: Map<string, 'done' | 'cancelled'>, id: string, status: 'done' | 'cancelled'): void {
+  ends.set(id, status);
+  if (ends.size <= FINAL_CACHE) return;
+  for (const oldest of ends.keys()) return void ends.delete(oldest);
+}
