--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -251,7 +251,7 @@
         entries: replica.entries,
         accepted: this.jobs.accepted,
         finals: this.jobs.finals,
-        settled: this.owned.settled(),
+        settled: this.owned.recorded(),
       }),
       remember: (job, final) => this.jobs.remember(job, final),
       onEpoch: () => this.onEpoch(),
--- a/packages/scheduler/src/coordination/ownership/owned-parts.ts
+++ b/packages/scheduler/src/coordination/ownership/owned-parts.ts
@@ -98,10 +98,10 @@
     if (mine && !this.owned.has(name)) this.begin(name, record.token);
   }
 
-  /** Settled tasks of all its parts, by slice. */
-  settled(): Map<string, string> {
+  /** What all its parts have recorded as settled, by slice: results not recorded yet are still at the machines. */
+  recorded(): Map<string, string> {
     const slices = this.all().flatMap((part) => [...part.slices.values()]);
-    return new Map(slices.filter((s) => s.settled.size > 0).map((s) => [s.name, s.settled.encode()]));
+    return new Map(slices.filter((s) => s.recorded.size > 0).map((s) => [s.name, s.recorded.encode()]));
   }
 
   /** Nothing that is owned by the records of one epoch is in the next. */
--- a/packages/scheduler/src/coordination/recovery/missing.ts
+++ b/packages/scheduler/src/coordination/recovery/missing.ts
@@ -28,7 +28,7 @@
   accepted: ReadonlyMap<string, OpenJobRecord>;
   /** Jobs that it knows to be over. */
   finals: ReadonlyMap<string, Final>;
-  /** Settled tasks of the parts that it owns, by slice: its copy may not show yet what it has recorded itself. */
+  /** What the owner of parts has recorded as settled, by slice: its copy may not show it yet. */
   settled: ReadonlyMap<string, string>;
 }
 
