--- a/packages/scheduler/src/bookkeeping/store.ts
+++ b/packages/scheduler/src/bookkeeping/store.ts
@@ -98,8 +98,8 @@
   }
 
   /** For the rebuild alone: a transaction that belongs to no epoch, or to one that is only gathering. */
-  async rawTxn(conditions: Condition[], writes: Write[]): Promise<TxnResult> {
-    await this.turn(writes.length > 2 ? 'work' : 'ownership', writes.length);
+  async rawTxn(conditions: Condition[], writes: Write[], lane: Lane = 'ownership'): Promise<TxnResult> {
+    await this.turn(lane, writes.length);
     return this.api.txn(conditions, writes);
   }
 
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -18,8 +18,6 @@
 export const RENT_BATCH = 50;
 /** Machines. The most the cloud lists in one response. */
 export const LIST_PAGE = 500;
-/** Ratio. Conditions that a transaction may have to the changes that it may. */
-export const CONDITIONS_PER_CHANGE = 4;
 /** Items. The most the state service lists in one response. */
 export const STATE_PAGE = 1000;
 /** Ratio. By how much two steady clocks may differ: 0.05% each way, doubled for two machines. */
--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -172,7 +172,7 @@
     keep(this.over, id, status);
   }
 
-  private async read(id: string): Promise<{ job: JobRecord; condition: Condition } | null> {
+  private async read(id: string): Promise<{ job: JobRecord; conditions: Condition[] } | null> {
     const entry = await this.context.store.get(jobKey(id), 'user');
     const over = this.finalOf(id);
     if (!entry) return this.unread(id, over);
@@ -183,19 +183,23 @@
     // Of an older copy that has come back, this may be the first answer.
     if (job.status === 'open' && this.context.openSpec(id) === null) await this.context.verify();
     if (job.status !== 'open') this.remember(id, job.status);
-    return { job, condition: { key: entry.key, version: entry.version } };
+    return { job, conditions: [{ key: entry.key, version: entry.version }] };
   }
 
   /** A job of which there is no record: lost, if this node knows of it; else never accepted, if that is certain. */
   private async unread(
     id: string,
     over: 'done' | 'cancelled' | undefined,
-  ): Promise<{ job: JobRecord; condition: Condition } | null> {
-    const condition = { key: jobKey(id), version: 0 };
+  ): Promise<{ job: JobRecord; conditions: Condition[] } | null> {
+    const absent = { key: jobKey(id), version: 0 };
     const past = this.past.get(id);
-    if (past) return { job: { status: past, tasks: 0 }, condition };
-    // A job's state is never removed: to go on by its open record alone would be to decide by half of what is left.
-    if (over || this.context.openSpec(id)) this.context.store.lineage.lose(`the state of ${id} is gone`);
+    if (past) return { job: { status: past, tasks: 0 }, conditions: [absent] };
+    if (over) this.context.store.lineage.lose(`the state of ${id} is gone`);
+    const spec = this.context.openSpec(id);
+    // Written back after a loss, it has its open record alone; of a copy that came back it would not have that version.
+    const open = { key: openJobKey(id), version: this.context.replica.version(openJobKey(id)) };
+    if (spec && open.version !== 0)
+      return { job: { status: 'open', tasks: spec.tasks }, conditions: [absent, open] };
     await this.context.verify();
     if (!this.context.mayDeny()) throw new StateRefused('not known yet');
     return null;
@@ -331,12 +335,12 @@
     for (let tries = 0; tries < WITHDRAW_TRIES; tries++) {
       const found = await this.read(id);
       if (!found) return answers.notFound;
-      const { job, condition } = found;
+      const { job, conditions } = found;
       if (job.status !== 'open') return { status: 200, body: encodeState(id, job.status) };
       const result = await this.context.store.txn(
-        [condition],
+        conditions,
         [
-          { op: 'put', key: condition.key, value: { ...job, status: 'cancelled' } },
+          { op: 'put', key: jobKey(id), value: { ...job, status: 'cancelled' } },
           { op: 'delete', key: openJobKey(id) },
         ],
         'user',
--- a/packages/scheduler/src/coordination/recovery/missing.ts
+++ b/packages/scheduler/src/coordination/recovery/missing.ts
@@ -85,17 +85,17 @@
   const key = openJobKey(id);
   const entry = view.get(key);
   if (!entry) {
-    const job: JobRecord = { status: 'open', tasks: record.spec.tasks };
+    // Its open record says enough: the state is written when it ends, and half of all changes are saved.
     const conditions = [jobKey(id), key].map((each) => ({ key: each, version: 0 }));
-    const writes: Write[] = [
-      { op: 'put', key: jobKey(id), value: job },
-      { op: 'put', key, value: record },
-    ];
-    return [{ job: id, conditions, writes }];
+    return [{ job: id, conditions, writes: [{ op: 'put', key, value: record }] }];
   }
   const there = readLive(key, entry.value);
   // Slices are only ever added, and a move adds one: the more there are, the later the record.
-  if (there?.kind !== 'job' || (there.record?.slices.length ?? 0) >= record.slices.length) return [];
+  if (there?.kind !== 'job' || !there.record) return [];
+  // Accepted once more by one that had read the copy: what was accepted first may be running.
+  const earlier = record.at < there.record.at;
+  const later = there.record.at === record.at && there.record.slices.length < record.slices.length;
+  if (!earlier && !later) return [];
   return [
     { job: id, conditions: [{ key, version: entry.version }], writes: [{ op: 'put', key, value: record }] },
   ];
--- a/packages/scheduler/src/coordination/recovery/rebuild.ts
+++ b/packages/scheduler/src/coordination/recovery/rebuild.ts
@@ -8,7 +8,6 @@
   GIVEN_STALE_MS,
   KEPT_UNKNOWN_MS,
   CLOCK_DRIFT,
-  CONDITIONS_PER_CHANGE,
   LEASE_MARGIN_MS,
   POLL_WAIT_MS,
   KNEW_MS,
@@ -23,7 +22,6 @@
   givenKey,
   type GivenRecord,
   jobKey,
-  type JobRecord,
   LIVE,
   openJobKey,
   readEpoch,
@@ -121,6 +119,8 @@
   mayDeny(): boolean {
     const record = this.context.lineage.epoch?.record;
     if (!record) return false;
+    // One that has just read the records may have read a copy that came back: those that know more find it out first.
+    if (!record.fresh && this.context.clock.now() - this.adoptedAt < KNEW_MS) return false;
     if (record.whole || this.since(DENY_MS)) return true;
     return !record.blind && this.allGiven(this.context.replica.entries, record.id);
   }
@@ -245,10 +245,7 @@
       }
       return;
     }
-    if (own.clean < Number(needed)) {
-      if (await this.restoreStates(view, epoch)) return;
-      return this.mark(gathering, Number(revision));
-    }
+    if (own.clean < Number(needed)) return this.mark(gathering, Number(revision));
     await this.open(gathering, view, Number(needed));
   }
 
@@ -270,7 +267,7 @@
 
   private async write(epoch: Epoch, step: Step): Promise<void> {
     const { store } = this.context;
-    const result = await store.rawTxn([...step.conditions, ...epoch.proofs], step.writes);
+    const result = await store.rawTxn([...step.conditions, ...epoch.proofs], step.writes, 'work');
     if (result.kind !== 'conflict' || step.job === null || !result.failed.includes(jobKey(step.job))) return;
     // Its state is there though its open record is not: over, or that record alone was lost.
     const entry = await store.rawGet(jobKey(step.job));
@@ -282,37 +279,7 @@
       { key: openJobKey(step.job), version: 0 },
       ...epoch.proofs,
     ];
-    await store.rawTxn(conditions, step.writes);
-  }
-
-  /**
-   * Jobs are listed by their open records; that the state of one is gone, only a comparison shows. It costs no change,
-   * and many go in one. True if any was written back.
-   */
-  private async restoreStates(view: ReadonlyMap<string, Entry>, epoch: Epoch): Promise<boolean> {
-    const { store, settings } = this.context;
-    const open = [...view.values()].flatMap((entry) => {
-      const known = entry.key.startsWith(openJobKey('')) ? readLive(entry.key, entry.value) : null;
-      return known?.kind === 'job' && known.record ? [{ id: known.id, record: known.record, entry }] : [];
-    });
-    const most = CONDITIONS_PER_CHANGE * settings.txnOps - epoch.proofs.length;
-    let restored = false;
-    for (let from = 0; from < open.length; from += most) {
-      const some = open.slice(from, from + most);
-      const absent = some.map(({ id }) => ({ key: jobKey(id), version: 0 }));
-      const result = await store.rawTxn([...absent, ...epoch.proofs], []);
-      const there = new Set(result.kind === 'conflict' ? result.failed : []);
-      for (const { id, record, entry } of some.filter((job) => !there.has(jobKey(job.id)))) {
-        const value: JobRecord = { status: 'open', tasks: record.spec.tasks };
-        const conditions = [
-          { key: jobKey(id), version: 0 },
-          { key: entry.key, version: entry.version },
-        ];
-        await store.rawTxn([...conditions, ...epoch.proofs], [{ op: 'put', key: jobKey(id), value }]);
-        restored = true;
-      }
-    }
-    return restored;
+    await store.rawTxn(conditions, step.writes, 'work');
   }
 
   /** Tells how far this node has come. */
