--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -173,12 +173,12 @@
   }
 
   private async read(id: string): Promise<{ job: JobRecord; conditions: Condition[] } | null> {
+    // Known before the question was put: an end that came with the answer on its way contradicts nothing.
+    const over = this.finalOf(id) ?? this.seen.get(id);
     const entry = await this.context.store.get(jobKey(id), 'user');
-    const over = this.finalOf(id);
     if (!entry) return this.unread(id, over);
     const job = readJob(entry.value);
-    if (job.status === 'open' && (over || this.seen.has(id)))
-      this.context.store.lineage.lose(`${id} is over, and is shown as open`);
+    if (job.status === 'open' && over) this.context.store.lineage.lose(`${id} is over, and is shown as open`);
     this.context.store.lineage.need();
     // Of an older copy that has come back, this may be the first answer.
     if (job.status === 'open' && this.context.openSpec(id) === null) await this.context.verify();
