A transaction answered while the epoch was lost counts as unknown, not as refused

Cause: by reading: a move carried out in the moment in which the node found the loss was taken for refused, so that its tasks waited again here though the other part had them. Change: such an answer is unknown, as one that never came.

--- a/packages/scheduler/src/bookkeeping/store.ts
+++ b/packages/scheduler/src/bookkeeping/store.ts
@@ -7,6 +7,7 @@
   USER_WAIT_MS,
 } from '../constants.ts';
 import type { Clock } from '../transport/clock.ts';
+import { NoAnswer } from '../transport/http-client.ts';
 import { Pace } from '../transport/pace.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Int } from '../protocol/json.ts';
@@ -67,7 +68,8 @@
     if (result.kind === 'conflict') this.lineage.failed(epoch, result.failed);
     if (result.kind !== 'no_lease' && result.revision !== null)
       this.lineage.told(before, result.revision, result.kind === 'committed' && writes.length > 0);
-    this.lineage.same(epoch);
+    // Lost meanwhile: what was answered may be gone, and may be there. It was not refused.
+    if (this.lineage.epoch !== epoch) throw new NoAnswer('epoch lost meanwhile');
     return result;
   }
 
