Keeper's log: a bound on what waits, and no record after a write that was not taken back

Cause: read once more: what waits for the disk had no bound, and where a failed write could not be cut back the next record would have stood behind its rest and been read as damage.

--- a/packages/keeper/src/constants.ts
+++ b/packages/keeper/src/constants.ts
@@ -11,3 +11,5 @@
 export const RECORD_MOST = 1024 * 1024;
 /** Bytes after which a new segment is begun: a damaged one costs no more, and compaction takes them whole. */
 export const SEGMENT_BYTES = 16 * 1024 * 1024;
+/** Records that wait for the disk at the most; one more is refused at once. */
+export const WAITING_MOST = 10_000;
--- a/packages/keeper/src/log.ts
+++ b/packages/keeper/src/log.ts
@@ -1,4 +1,4 @@
-import { HEADER_BYTES, SEGMENT_BYTES } from './constants.ts';
+import { HEADER_BYTES, SEGMENT_BYTES, WAITING_MOST } from './constants.ts';
 import { Damaged, type Disk } from './disk.ts';
 import { frame, header, readSegment } from './frames.ts';
 
@@ -12,6 +12,8 @@
 export class RecordLog {
   private waiting: { content: Uint8Array; done: (error: unknown) => void }[] = [];
   private writing = false;
+  /** What of a failed write could not be taken back: a record after it would be read as damage. */
+  private broken: Error | null = null;
 
   private constructor(
     private readonly disk: Disk,
@@ -57,6 +59,8 @@
 
   /** Comes back when the record is durable. Throws what the disk threw; then the record is not in the log. */
   append(content: Uint8Array): Promise<void> {
+    if (this.waiting.length >= WAITING_MOST)
+      return Promise.reject(new Error('too many records wait for the disk'));
     return new Promise((resolve, reject) => {
       const done = (error: unknown): void => {
         if (error === null) resolve();
@@ -82,6 +86,7 @@
   }
 
   private async write(contents: Uint8Array[]): Promise<void> {
+    if (this.broken) throw this.broken;
     if (this.segment === null || this.bytes >= this.segmentBytes) {
       this.segment = nameOf(this.number);
       this.bytes = 0;
@@ -96,7 +101,9 @@
       await this.disk.sync(name);
     } catch (error) {
       // Whatever of it is there is no record: the next one takes its place.
-      await this.disk.cut(name, before);
+      await this.disk.cut(name, before).catch((why: unknown) => {
+        this.broken = new Error(`${name}: not cut back, to be opened anew: ${String(why)}`);
+      });
       throw error;
     }
     this.bytes += all.length;
