--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -9,7 +9,7 @@
   seededRandom,
 } from '@onyxkeel/scheduler';
 import { Cloud, type Capacity, type Rented } from './cloud.ts';
-import { EPOCH_MS, EXCUSED_MS, START_MS } from './constants.ts';
+import { EPOCH_MS, START_MS } from './constants.ts';
 import { Judge } from './judge.ts';
 import type { Loss } from './losses.ts';
 import { LoadBalancer } from './load-balancer.ts';
@@ -44,6 +44,8 @@
 }
 
 interface Process {
+  /** When it began to serve; what was lost before then it never knew. */
+  servesFrom: number;
   host: Host;
   controller: Controller;
 }
@@ -168,7 +170,7 @@
         peers.filter((i) => this.processes.get(i) && this.meshOpen(host, i)).map((i) => this.name(i)),
       signal: never.signal,
     });
-    this.processes.set(node, { host, controller });
+    this.processes.set(node, { host, controller, servesFrom: this.time.now + START_MS });
     this.time.after(START_MS, () => {
       if (host.status !== 'up') return;
       const serve = httpApi(controller);
@@ -201,31 +203,28 @@
     process.host.clock.ended = true;
     this.network.forget(process.host);
     this.processes.delete(node);
-    if (this.lostAt !== null && this.time.now - this.lostAt < EXCUSED_MS) this.excuse();
+    this.noteSurvivors();
   }
 
   /** The state service loses data. */
   lose(loss: Loss): void {
     this.state.lose(loss);
     this.lostAt = this.time.now;
-    this.excuse();
+    this.noteSurvivors();
   }
 
   /**
-   * What neither the state service has any more nor any controller that lives knows is excused, and counted; nothing
-   * else is. Looked at when data is lost, and when a controller ends shortly after.
+   * Where the last controller that knew what was lost has ended, and the state service does not have it either, nobody
+   * knows it any more: only that is excused, and counted.
    */
-  private excuse(): void {
-    const living = [...this.processes.values()].map((process) => process.controller);
-    const told = (job: string): ('open' | 'done' | 'cancelled')[] =>
-      living.map((controller) => controller.knows(job)).filter((state) => state !== null);
+  private noteSurvivors(): void {
+    const { lostAt } = this;
+    if (lostAt === null) return;
+    if ([...this.processes.values()].some((process) => process.servesFrom < lostAt)) return;
+    this.lostAt = null;
     this.judge.excuse(
-      (job) => {
-        const known = told(job);
-        const stored = this.state.read(`job/${job}`) as { status: 'open' | 'done' | 'cancelled' } | undefined;
-        return known.find((state) => state !== 'open') ?? stored?.status ?? known[0] ?? null;
-      },
-      (job) => told(job).length > 0,
+      (job) => this.state.read(`job/${job}`) !== undefined,
+      (job) => this.state.read(`live/job/${job}`) !== undefined,
     );
   }
 
--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -38,8 +38,6 @@
 /** Milliseconds between copies of the state service's data to which a loss may go back, and how many are kept. */
 export const COPY_MS = 1000;
 export const COPIES_MOST = 120;
-/** Milliseconds after a loss within which a controller's end may take what it alone knew: a rebuild is over by then. */
-export const EXCUSED_MS = 30_000;
 /** Changes by which revisions go beyond those told before a loss, where they do. */
 export const REVISION_JUMP = 5000;
 /** Milliseconds for which a transaction without an answer may still be applied. */
--- a/packages/scheduler/src/bookkeeping/open-jobs.ts
+++ b/packages/scheduler/src/bookkeeping/open-jobs.ts
@@ -53,12 +53,8 @@
     }
     this.pages.set(key, names);
     for (const name of names) {
-      const told = record?.settled[name] ?? '';
-      const known = this.settled.get(name)?.encoded;
-      if (known === told) continue;
-      // After a rebuild a name may stand on two pages; what one of them says is settled stays so.
-      const encoded = known === undefined ? told : TaskSet.join(known, told);
-      if (known === encoded) continue;
+      const encoded = record?.settled[name] ?? '';
+      if (this.settled.get(name)?.encoded === encoded) continue;
       this.settled.set(name, { encoded, size: TaskSet.countIn(encoded) });
       changed.add(name.split('/').at(-2) ?? '');
     }
--- a/packages/scheduler/src/bookkeeping/records.ts
+++ b/packages/scheduler/src/bookkeeping/records.ts
@@ -56,40 +56,6 @@
 /** How a team's limit is split over the parts. */
 export interface QuotaRecord {
   shares: Record<string, Amounts>;
-  /** Written back after a loss: the version that it had before. */
-  was?: string | undefined;
-}
-/**
- * A stretch of the state service's life in which nothing was lost. `gathering`: after a loss, whoever knows something
- * writes it back; `serving`: the records are what there is to know.
- */
-export interface EpochRecord {
-  /** Drawn at random. */
-  id: string;
-  phase: 'gathering' | 'serving';
-  /** Every token of this epoch is above it, and it is above all tokens of epochs before: seconds, or one more than known. */
-  floor: number;
-  /** Time of day at which it began, milliseconds. */
-  at: number;
-  /** Whether all controllers that knew the epoch before have said what they knew, or there was none before. */
-  whole: boolean;
-  /** Begun on an empty store by nodes that knew nothing: a machine that remembers a token proves that wrong. */
-  fresh: boolean;
-  /** Machines know more than the records, and no controller knew better. */
-  blind: boolean;
-}
-/** That a node has written back what it knew. */
-export interface GivenRecord {
-  epoch: string;
-  /** Whether it knew the epoch before. */
-  memory: boolean;
-  /** The revision at which it found nothing missing; 0 before. */
-  clean: number;
-}
-/** Jobs that are over, as packed ids. */
-export interface OverRecord {
-  done: Record<string, string>;
-  cancelled: Record<string, string>;
 }
 export interface JobRecord {
   status: 'open' | 'done' | 'cancelled';
@@ -104,13 +70,6 @@
 export const sliceName = (part: string, job: string, index: number): string =>
   `${part}/${job}/${String(index)}`;
 export const quotaKey = (team: string): string => `${LIVE}quota/${team}`;
-export const EPOCH_KEY = `${LIVE}epoch`;
-export const epochKey = (id: string): string => `${EPOCH_KEY}/${id}`;
-/** Stands among the jobs, so that a loss of these alone is seen. */
-export const epochWitness = (id: string): string => `job/epoch-${id}`;
-export const givenKey = (node: string): string => `${LIVE}given/${node}`;
-export const OVER = `${LIVE}over/`;
-export const overKey = (node: string, page: number): string => `${OVER}${node}/${String(page)}`;
 export const jobKey = (id: string): string => `job/${id}`;
 
 const spec = z.object({
@@ -158,35 +117,19 @@
 const progress = z.object({ settled: z.record(z.string(), z.string()) });
 const quota = z.object({
   shares: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
-  was: z.optional(z.string()),
 });
 const job = z.object({
   status: z.enum(['open', 'done', 'cancelled']),
   tasks: z.number(),
 });
 
-const epoch = z.object({
-  id: z.string(),
-  phase: z.enum(['gathering', 'serving']),
-  floor: z.number(),
-  at: z.number(),
-  whole: z.boolean(),
-  fresh: z.boolean(),
-  blind: z.boolean(),
-});
-const given = z.object({ epoch: z.string(), memory: z.boolean(), clean: z.number() });
-const packed = z.record(z.string(), z.string());
-const over = z.object({ done: packed, cancelled: packed });
-
 export type LiveRecord =
   | { kind: 'node'; name: string; record: NodeRecord | null }
   | { kind: 'part'; part: string; record: PartRecord | null }
   | { kind: 'machines'; part: string; key: string; record: MachinesRecord | null }
   | { kind: 'progress'; part: string; key: string; record: ProgressRecord | null }
   | { kind: 'job'; id: string; record: OpenJobRecord | null }
-  | { kind: 'quota'; team: string; record: QuotaRecord | null }
-  | { kind: 'given'; node: string; record: GivenRecord | null }
-  | { kind: 'over'; record: OverRecord | null };
+  | { kind: 'quota'; team: string; record: QuotaRecord | null };
 
 /** What a key under `live/` and its value (undefined: removed) say; null for a key of another version. */
 export function readLive(key: string, value: unknown): LiveRecord | null {
@@ -206,21 +149,11 @@
       return { kind, id: first, record: gone ? null : z.parse(openJob, value) };
     case 'quota':
       return { kind, team: [first, ...rest].join('/'), record: gone ? null : z.parse(quota, value) };
-    case 'given':
-      return { kind, node: first, record: gone ? null : z.parse(given, value) };
-    case 'over':
-      return { kind, record: gone ? null : z.parse(over, value) };
     default:
       return null;
   }
 }
 
-/** The epoch's record, or null where it is none. */
-export function readEpoch(value: unknown): EpochRecord | null {
-  const parsed = z.safeParse(epoch, value);
-  return parsed.success ? parsed.data : null;
-}
-
 export function readJob(value: unknown): JobRecord {
   return z.parse(job, value);
 }
--- a/packages/scheduler/src/bookkeeping/store.ts
+++ b/packages/scheduler/src/bookkeeping/store.ts
@@ -7,22 +7,19 @@
   USER_WAIT_MS,
 } from '../constants.ts';
 import type { Clock } from '../transport/clock.ts';
-import { NoAnswer } from '../transport/http-client.ts';
 import { Pace } from '../transport/pace.ts';
 import type { Log } from '../transport/routine.ts';
 import type { Int } from '../protocol/json.ts';
 import {
   type Condition,
   type Entry,
-  type StateEvent,
   StateRefused,
   type StateApi,
   TooOld,
   type TxnResult,
   type Write,
 } from '../protocol/state.ts';
-import type { Epoch, Lineage } from './lineage.ts';
-import { EPOCH_KEY, epochKey, LIVE, type LiveRecord, readEpoch, readLive } from './records.ts';
+import { LIVE, type LiveRecord, readLive } from './records.ts';
 
 /** Whose call goes first when the state service's limits are near: ownership, then users, then the rest. */
 export type Lane = 'ownership' | 'user' | 'work';
@@ -37,8 +34,6 @@
   constructor(
     private readonly api: StateApi,
     private readonly clock: Clock,
-    /** Which history the calls belong to; each is looked at for signs that data is lost. */
-    readonly lineage: Lineage,
     limits: { rps: number; writeRps: number; nodes: number },
   ) {
     const share = STATE_SHARE / limits.nodes;
@@ -48,39 +43,21 @@
   }
 
   async get(key: string, lane: Lane): Promise<Entry | null> {
-    const epoch = this.lineage.need();
     await this.turn(lane, 0);
-    this.lineage.same(epoch);
-    const before = this.lineage.revision;
-    const { entry, revision } = await this.api.get(key);
-    if (revision !== null) this.lineage.told(before, revision);
-    this.lineage.same(epoch);
-    return entry;
+    return this.api.get(key);
   }
 
   async txn(conditions: Condition[], writes: Write[], lane: Lane): Promise<TxnResult> {
-    const epoch = this.lineage.need();
     await this.turn(lane, writes.length);
-    // What was reckoned from the records of one epoch must not be sent in the next: versions may match by accident.
-    this.lineage.same(epoch);
-    const before = this.lineage.revision;
-    const result = await this.api.txn([...conditions, ...epoch.proofs], writes);
-    if (result.kind === 'conflict') this.lineage.failed(epoch, result.failed);
-    if (result.kind !== 'no_lease' && result.revision !== null)
-      this.lineage.told(before, result.revision, result.kind === 'committed' && writes.length > 0);
-    // Lost meanwhile: what was answered may be gone, and may be there. It was not refused.
-    if (this.lineage.epoch !== epoch) throw new NoAnswer('epoch lost meanwhile');
-    return result;
+    return this.api.txn(conditions, writes);
   }
 
   async grant(lifeMs: number): Promise<Int> {
-    this.lineage.need();
     await this.turn('ownership', 0);
     return this.api.grant(lifeMs);
   }
 
   async extend(lease: Int): Promise<boolean> {
-    this.lineage.need();
     await this.turn('ownership', 0);
     return this.api.extend(lease);
   }
@@ -91,38 +68,8 @@
   }
 
   async follow(prefix: string, from: Int, holdMs: number): ReturnType<StateApi['follow']> {
-    const epoch = this.lineage.need();
     await this.turn('ownership', 0);
-    const changes = await this.api.follow(prefix, from, holdMs);
-    this.lineage.told(from, changes.revision);
-    this.lineage.same(epoch);
-    return changes;
-  }
-
-  /** For the rebuild alone: a transaction that belongs to no epoch, or to one that is only gathering. */
-  async rawTxn(conditions: Condition[], writes: Write[], lane: Lane = 'ownership'): Promise<TxnResult> {
-    await this.turn(lane, writes.length);
-    return this.api.txn(conditions, writes);
-  }
-
-  async rawGet(key: string): Promise<Entry | null> {
-    await this.turn('ownership', 0);
-    return (await this.api.get(key)).entry;
-  }
-
-  /** Everything under the prefix; its pages may be of different revisions, the least of which is told. */
-  async rawAll(prefix: string): Promise<{ entries: Map<string, Entry>; revision: Int }> {
-    const entries = new Map<string, Entry>();
-    let after: string | null = null;
-    let revision: Int | null = null;
-    for (let pages = 0; pages < LIVE_PAGE_LIMIT; pages++) {
-      const page = await this.list(prefix, after);
-      revision ??= page.revision;
-      for (const entry of page.entries) entries.set(entry.key, entry);
-      after = page.entries.at(-1)?.key ?? null;
-      if (!page.more || after === null) break;
-    }
-    return { entries, revision: revision ?? 0 };
+    return this.api.follow(prefix, from, holdMs);
   }
 
   private async turn(lane: Lane, writes: number): Promise<void> {
@@ -190,18 +137,13 @@
 
   /** Reads everything, then follows, until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    let loaded: Epoch | null = null;
-    let last: Epoch | null = null;
+    let loaded = false;
     while (!signal.aborted) {
-      // What is known of a lost epoch is kept until the next one has it.
-      await this.store.lineage.whole();
-      const { epoch } = this.store.lineage;
-      if (!epoch) continue;
       const began = this.clock.now();
       try {
-        if (loaded === epoch) await this.followOnce(began);
-        else await this.load(began, epoch, last !== epoch);
-        loaded = last = epoch;
+        if (loaded) await this.followOnce(began);
+        else await this.load(began);
+        loaded = true;
         this.onCaughtUp();
         for (const { since, wake } of this.waiting) if (began >= since) wake();
         const spent = this.clock.now() - began;
@@ -209,7 +151,7 @@
         if (gap > 0) await this.clock.sleep(gap, signal);
       } catch (error) {
         if (signal.aborted) return;
-        if (error instanceof TooOld) loaded = null;
+        if (error instanceof TooOld) loaded = false;
         else this.log.debug({ err: String(error) }, 'no contact with the state service');
         await this.clock.sleep(RETRY_MS, signal);
       }
@@ -219,9 +161,6 @@
   private async followOnce(sentAt: number): Promise<void> {
     const hold = this.waiting.size > 0 ? 0 : FOLLOW_HOLD_MS;
     const { revision, events } = await this.store.follow(LIVE, this.revision, hold);
-    // Looked for before any of it is taken: a new epoch's records come only when all of them are there.
-    for (const event of events) this.look(event);
-    this.store.lineage.need();
     for (const event of events) {
       if (event.op === 'put') this.put(event);
       else if (this.entries.delete(event.key)) this.tell(event.key, undefined, event.version);
@@ -234,16 +173,18 @@
    * Pages of a list are read at different revisions. The changes since the first page are applied before
    * anything is told, else a slice could be seen that is newer than the ownership seen with it.
    */
-  private async load(sentAt: number, epoch: Epoch, again: boolean): Promise<void> {
-    const { entries: fresh, revision: first } = await this.store.rawAll(LIVE);
-    const since = await this.store.follow(LIVE, first, 0);
-    for (const event of since.events) this.look(event);
-    this.store.lineage.same(epoch);
-    const [proof] = epoch.proofs;
-    if (proof && fresh.get(proof.key)?.version !== proof.version) {
-      this.store.lineage.lose('records without their epoch');
-      this.store.lineage.same(epoch);
+  private async load(sentAt: number): Promise<void> {
+    const fresh = new Map<string, Entry>();
+    let after: string | null = null;
+    let first: Int | null = null;
+    for (let pages = 0; pages < LIVE_PAGE_LIMIT; pages++) {
+      const page = await this.store.list(LIVE, after);
+      first ??= page.revision;
+      for (const entry of page.entries) fresh.set(entry.key, entry);
+      after = page.entries.at(-1)?.key ?? null;
+      if (!page.more || after === null) break;
     }
+    const since = await this.store.follow(LIVE, first ?? 0, 0);
     for (const event of since.events) {
       if (event.op === 'put') fresh.set(event.key, event);
       else fresh.delete(event.key);
@@ -251,8 +192,7 @@
     const known = [...this.entries.keys()].filter((key) => !fresh.has(key));
     this.onLoading();
     for (const entry of fresh.values()) {
-      // Of another epoch, a version says nothing about what was known under it.
-      if (again || this.entries.get(entry.key)?.version !== entry.version) this.put(entry);
+      if (this.entries.get(entry.key)?.version !== entry.version) this.put(entry);
     }
     for (const key of known) {
       this.entries.delete(key);
@@ -262,17 +202,6 @@
     this.provenAt = sentAt;
   }
 
-  /** A change that ends the epoch. */
-  private look(event: StateEvent): void {
-    const { lineage } = this.store;
-    const id = lineage.epoch?.record.id;
-    if (id === undefined) return;
-    if (event.op === 'delete' && (event.key === epochKey(id) || event.key === EPOCH_KEY))
-      return lineage.lose('epoch is gone');
-    if (event.op !== 'put' || event.key !== EPOCH_KEY) return;
-    if (readEpoch(event.value)?.id !== id) lineage.lose('another epoch');
-  }
-
   private put(entry: Entry): void {
     this.entries.set(entry.key, { key: entry.key, value: entry.value, version: entry.version });
     this.tell(entry.key, entry.value, entry.version);
--- a/packages/scheduler/src/bookkeeping/task-set.ts
+++ b/packages/scheduler/src/bookkeeping/task-set.ts
@@ -19,15 +19,6 @@
     return members;
   }
 
-  /** The record of a set with the members of both. */
-  static join(one: string, other: string): string {
-    const [longer, shorter] = [Buffer.from(one, 'base64'), Buffer.from(other, 'base64')].sort(
-      (a, b) => b.length - a.length,
-    );
-    for (const [i, byte] of shorter?.entries() ?? []) if (longer) longer[i] = (longer[i] ?? 0) | byte;
-    return longer?.toString('base64') ?? '';
-  }
-
   get size(): number {
     return this.members;
   }
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -49,31 +49,6 @@
 /** Bytes of a value left beside the bits of a slice's tasks. */
 export const SLICE_SPEC_BYTES = 4096;
 
-// --- data lost by the state service ---
-/** Milliseconds. 2020-01-01: tokens of an epoch begin at the seconds since, which leaves attempt numbers short. */
-export const EPOCH_DATE_MS = 1_577_836_800_000;
-/** Milliseconds between comparisons of the records known here with those that are there; each is a request. */
-export const AUDIT_MS = 2000;
-/** Records compared each time: the newest, which a history that has gone another way lacks, and others in turn. */
-export const AUDIT_NEWEST = 8;
-export const AUDIT_ENTRIES = 36;
-/** Milliseconds between looks at what is still missing, while nodes write back what they know. */
-export const GATHER_TICK_MS = 250;
-/** Milliseconds that a node which has not begun to write back is waited for: a restart takes about as long. */
-export const GATHER_MS = 6000;
-/** Milliseconds without a change of its mark after which a node that had begun counts as gone. */
-export const GIVEN_STALE_MS = 5000;
-/** Milliseconds a node must have lived in an epoch to have known it: one that read it after its loss does not. */
-export const KNEW_MS = 5000;
-/** Milliseconds for which tasks of jobs that nobody knows are left alone: a node that is late may know them. */
-export const KEPT_UNKNOWN_MS = 15_000;
-/** Milliseconds after which a job that nobody knows was never accepted, whoever may still be away. */
-export const DENY_MS = 600_000;
-/** Jobs accepted here that the records have not shown yet; each is one follow old, and beyond it the oldest go. */
-export const ACCEPTED_MOST = 1000;
-/** Unknown jobs that machines report, looked up once each; beyond it the oldest are looked up again. */
-export const DOUBTED_MOST = 2000;
-
 // --- ownership ---
 /** Milliseconds between looks at who owns what. */
 export const OWNERSHIP_TICK_MS = 200;
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -14,7 +14,6 @@
 import { KnownPages } from '../bookkeeping/known-pages.ts';
 import { OpenJobs } from '../bookkeeping/open-jobs.ts';
 import { type LiveRecord, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
-import { Lineage } from '../bookkeeping/lineage.ts';
 import { Replica, Store } from '../bookkeeping/store.ts';
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
@@ -39,8 +38,6 @@
 import { LimitShifts } from './limits/limit-shifts.ts';
 import { Membership } from './ownership/membership.ts';
 import { Moves } from './placing/moves.ts';
-import { Doubts } from './recovery/doubts.ts';
-import { Rebuild } from './recovery/rebuild.ts';
 import { endless, OwnedParts } from './ownership/owned-parts.ts';
 import { partMap, type PartMap } from './ownership/parts.ts';
 import { Reach } from './ownership/reach.ts';
@@ -79,9 +76,6 @@
   private readonly siblings: SiblingCalls;
   private readonly moves: Moves;
   private readonly vouching: Vouching;
-  private readonly lineage: Lineage;
-  private readonly rebuild: Rebuild;
-  private readonly doubts: Doubts;
   private readonly openJobs = new OpenJobs();
   private readonly machinePages = new KnownPages<MachinesRecord>();
   private readonly progressPages = new KnownPages<ProgressRecord>();
@@ -98,12 +92,7 @@
     this.averages = new Averages(clock);
     this.lateness = new Lateness(clock);
     const api = stateApi(http, settings.state, STATE_DEADLINE_MS, signal);
-    this.lineage = new Lineage((reason) => this.rebuild.onLost(reason));
-    this.store = new Store(api, clock, this.lineage, {
-      rps: settings.stateRps,
-      writeRps: settings.stateWriteRps,
-      nodes,
-    });
+    this.store = new Store(api, clock, { rps: settings.stateRps, writeRps: settings.stateWriteRps, nodes });
     this.replica = new Replica(
       this.store,
       clock,
@@ -123,7 +112,6 @@
       replica: this.replica,
       parts: this.parts,
       busy: () => this.owned.busy,
-      floor: () => this.lineage.last?.record.floor ?? 0,
     });
     this.limits = new Limits(settings.teams, this.parts.names);
     this.cloud = new CloudCalls(
@@ -147,10 +135,6 @@
       catalog: () => this.catalog.types,
       openSpec: (job) => this.openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => this.progress(job),
-      // Of a new epoch, the jobs that were over before it are told by its records.
-      mayDeny: () => this.loaded && this.rebuild.mayDeny(),
-      mayAccept: () => this.loaded && this.rebuild.settled,
-      verify: () => this.rebuild.verify(),
       vouched: (job) => this.vouching.isOpen(job),
       passOn: (op, body) => this.siblings.passOn(op, body),
     });
@@ -163,7 +147,6 @@
       store,
       openJobs,
       owns: (part) => this.owned.get(part) !== undefined,
-      remember: (job) => this.jobs.remember(job, 'done'),
     });
     const partNames = this.parts.names;
     this.limitShifts = new LimitShifts({
@@ -205,10 +188,6 @@
       catalog,
       servingOrder: () => order.places(),
       mayAct: () => this.mayAct(),
-      mayStart: () => this.rebuild.settled,
-      unknownIsOver: () => this.rebuild.unknownIsOver,
-      onUnknownJob: (job) => this.doubts.onUnknownJob(job),
-      onNewerToken: (part) => this.doubts.onNewerToken(part),
       proofMs: this.proofMs,
       machinePages,
       progressPages,
@@ -238,33 +217,6 @@
       // While the records are read anew, they are not all there.
       knowsOpen: (job) => this.loaded && this.jobs.knowsOpen(job),
     });
-    this.rebuild = new Rebuild({
-      settings,
-      clock,
-      wallClock,
-      log,
-      store,
-      replica,
-      lineage: this.lineage,
-      drawId: () => `${deps.incarnation}-${String(random.below(2 ** 30))}`,
-      memory: () => ({
-        entries: replica.entries,
-        accepted: this.jobs.accepted,
-        finals: this.jobs.finals,
-        settled: this.owned.recorded(),
-      }),
-      remember: (job, final) => this.jobs.remember(job, final),
-      onEpoch: () => this.onEpoch(),
-    });
-    this.doubts = new Doubts({
-      clock,
-      log,
-      store,
-      replica,
-      lineage: this.lineage,
-      isKnown: (job) => openJobs.jobs.has(job) || this.jobs.finalOf(job) !== undefined,
-      token: (part) => this.owned.get(part)?.part.token ?? null,
-    });
     this.siblings = new SiblingCalls({
       clock,
       log,
@@ -281,7 +233,6 @@
     const duty = { clock, log, signal };
     await Promise.all([
       this.lateness.run(signal),
-      this.rebuild.run(signal),
       this.replica.run(signal),
       this.membership.run(signal),
       routine('parts', OWNERSHIP_TICK_MS, duty, () => this.tickParts()),
@@ -296,13 +247,6 @@
 
   // --- the replica ---
 
-  /** A new epoch: what is owned, and who is up, begins anew; what is known stays until the records are read. */
-  private onEpoch(): void {
-    this.loaded = false;
-    this.owned.giveUpAll();
-    this.membership.onEpoch();
-  }
-
   private onChange(change: LiveRecord, version: Int): void {
     switch (change.kind) {
       case 'node':
@@ -323,7 +267,6 @@
         return;
       case 'job': {
         const { id, record } = change;
-        this.jobs.accepted.delete(id);
         if (record) {
           const job = this.openJobs.set(id, record, version, this.deps.clock.now());
           for (const part of this.owned.all()) {
@@ -333,16 +276,11 @@
         }
         const job = this.openJobs.remove(id);
         if (!job) return;
-        this.jobs.noteEnd(id, job.left);
         for (const part of this.owned.all()) {
           for (const given of this.openJobs.given(job, part.name)) part.dropSlice(given.name);
         }
         return;
       }
-      case 'over':
-        return void (change.record && this.jobs.notePast(change.record));
-      case 'given':
-        return;
       case 'quota':
         this.limits.set(change.team, change.record);
         this.owned.all().forEach((part) => part.schedulePlacing());
@@ -402,11 +340,8 @@
       const owned = this.owned.get(name);
       // A worker that has seen a higher token would drop the answer and let its lease run out here.
       if (owned && report.token <= owned.part.token && this.mayAct()) {
-        this.doubts.onToken(report.token);
         return { kind: 'orders', token: owned.part.token, orders: owned.part.onReport(report) };
       }
-      if (owned && report.token > owned.part.token) this.doubts.onNewerToken(name);
-      else this.doubts.onToken(report.token);
       const record = this.membership.owner(name);
       if (record && record.owner !== this.deps.settings.node && this.membership.up().includes(record.owner)) {
         return { kind: 'elsewhere', node: record.owner };
@@ -452,12 +387,6 @@
     this.owned.tick();
   }
 
-  /** What this node knows of a job; null: nothing. For tests, which judge what could be known after a loss. */
-  knows(job: string): 'open' | 'done' | 'cancelled' | null {
-    const open = this.openJobs.jobs.has(job) || this.jobs.accepted.has(job);
-    return this.jobs.finals.get(job) ?? this.jobs.finalOf(job) ?? (open ? 'open' : null);
-  }
-
   /** For tests and logs. */
   get ownedParts(): string[] {
     return this.owned.names;
--- a/packages/scheduler/src/coordination/jobs/job-ends.ts
+++ b/packages/scheduler/src/coordination/jobs/job-ends.ts
@@ -18,8 +18,6 @@
       store: Store;
       openJobs: OpenJobs;
       owns: (part: string) => boolean;
-      /** The job is done: a loss of data must not undo it. */
-      remember: (job: string) => void;
     },
   ) {}
 
@@ -58,7 +56,6 @@
         ],
         'user',
       );
-      if (result.kind === 'committed') this.context.remember(id);
       const tookS = Math.round((this.context.wallClock() - record.at) / 1000);
       this.context.log.debug(
         { job: id, class: of, tasks, estimateS, tookS, result: result.kind },
--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -1,19 +1,16 @@
 import {
-  ACCEPTED_MOST,
   CONTACT_STALE_MS,
   FINAL_CACHE,
   POLL_WAIT_MS,
   SHARING_GROUPS,
   WITHDRAW_TRIES,
 } from '../../constants.ts';
-import { unpackIds } from '../../bookkeeping/id-set.ts';
 import { fits } from '../../bookkeeping/machines.ts';
 import {
   jobKey,
   type JobRecord,
   openJobKey,
   type OpenJobRecord,
-  type OverRecord,
   readJob,
   sliceCapacity,
   type SliceRange,
@@ -54,12 +51,6 @@
   openSpec: (job: string) => JobSpec | null;
   /** Tasks left of the job and tasks on machines, as far as known here. */
   progress: (job: string) => { left: number; running: number };
-  /** Whether a job that is not in the records was certainly never accepted. */
-  mayDeny: () => boolean;
-  /** Whether a job that is not in the records may be accepted: nothing of it can be left over from before a loss. */
-  mayAccept: () => boolean;
-  /** Compares the records: throws where data is lost. */
-  verify: () => Promise<void>;
   /** Whether all nodes vouch for the job as open; asked of all of them from now on. */
   vouched: (job: string) => Promise<boolean>;
   /** Asks a sibling that may reach the state service; null if none answered. */
@@ -72,12 +63,6 @@
  */
 export class Jobs {
   private readonly over = new Map<string, 'done' | 'cancelled'>();
-  /** Ends that the records showed; `done` where no task was left, which a withdrawal may have come before. */
-  private readonly seen = new Map<string, 'done' | 'cancelled'>();
-  /** Written back after a loss: kept as long as their records are. */
-  private readonly past = new Map<string, 'done' | 'cancelled'>();
-  /** Accepted here and not shown by the replica yet: if data is lost now, nobody else knows of them. */
-  readonly accepted = new Map<string, OpenJobRecord>();
 
   constructor(private readonly context: JobsContext) {}
 
@@ -111,10 +96,9 @@
     here: () => Promise<UserAnswer>,
   ): Promise<UserAnswer> {
     const id = typeof body === 'string' ? body : body.id;
-    const over = this.finalOf(id);
+    const over = this.over.get(id);
     if (over) return this.final(op, id, over);
-    const lost = this.context.store.lineage.epoch === null;
-    const stale = lost || this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
+    const stale = this.context.clock.now() - this.context.replica.provenAt > CONTACT_STALE_MS;
     if (stale) {
       // Side by side: a sibling that hangs must not hold up what another can answer at once.
       const told = op === 'withdraw' ? [] : [this.vouchedView(id)];
@@ -132,27 +116,7 @@
 
   /** Whether this node knows the job as accepted, and of no end of it. */
   knowsOpen(id: string): boolean {
-    return this.context.openSpec(id) !== null && this.finalOf(id) === undefined;
-  }
-
-  finalOf(id: string): 'done' | 'cancelled' | undefined {
-    return this.over.get(id) ?? this.past.get(id);
-  }
-
-  /** What this node knows of jobs that are over. */
-  get finals(): ReadonlyMap<string, 'done' | 'cancelled'> {
-    return new Map([...this.seen, ...this.over]);
-  }
-
-  /** The records show that the job is over: only its end leaves none of its tasks. */
-  noteEnd(id: string, left: number): void {
-    keep(this.seen, id, left === 0 ? 'done' : 'cancelled');
-  }
-
-  /** Jobs that were over before a loss, as records tell of them that every node reads. */
-  notePast(record: OverRecord): void {
-    for (const id of unpackIds(record.done)) this.past.set(id, 'done');
-    for (const id of unpackIds(record.cancelled)) this.past.set(id, 'cancelled');
+    return this.context.openSpec(id) !== null && !this.over.has(id);
   }
 
   /** The job as open, where all nodes vouch for it. */
@@ -167,42 +131,21 @@
     return { status: 200, body: encodeView({ id, status, done: 0, running: 0 }) };
   }
 
-  /** The job is over. */
-  remember(id: string, status: 'done' | 'cancelled'): void {
-    keep(this.over, id, status);
+  private remember(id: string, status: 'done' | 'cancelled'): void {
+    this.over.set(id, status);
+    if (this.over.size <= FINAL_CACHE) return;
+    for (const oldest of this.over.keys()) {
+      this.over.delete(oldest);
+      break;
+    }
   }
 
-  private async read(id: string): Promise<{ job: JobRecord; conditions: Condition[] } | null> {
-    // Known before the question was put: an end that came with the answer on its way contradicts nothing.
-    const over = this.finalOf(id) ?? this.seen.get(id);
+  private async read(id: string): Promise<{ job: JobRecord; condition: Condition } | null> {
     const entry = await this.context.store.get(jobKey(id), 'user');
-    if (!entry) return this.unread(id, over);
+    if (!entry) return null;
     const job = readJob(entry.value);
-    if (job.status === 'open' && over) this.context.store.lineage.lose(`${id} is over, and is shown as open`);
-    this.context.store.lineage.need();
-    // Of an older copy that has come back, this may be the first answer.
-    if (job.status === 'open' && this.context.openSpec(id) === null) await this.context.verify();
     if (job.status !== 'open') this.remember(id, job.status);
-    return { job, conditions: [{ key: entry.key, version: entry.version }] };
-  }
-
-  /** A job of which there is no record: lost, if this node knows of it; else never accepted, if that is certain. */
-  private async unread(
-    id: string,
-    over: 'done' | 'cancelled' | undefined,
-  ): Promise<{ job: JobRecord; conditions: Condition[] } | null> {
-    const absent = { key: jobKey(id), version: 0 };
-    const past = this.past.get(id);
-    if (past) return { job: { status: past, tasks: 0 }, conditions: [absent] };
-    if (over) this.context.store.lineage.lose(`the state of ${id} is gone`);
-    const spec = this.context.openSpec(id);
-    // Written back after a loss, it has its open record alone; of a copy that came back it would not have that version.
-    const open = { key: openJobKey(id), version: this.context.replica.version(openJobKey(id)) };
-    if (spec && open.version !== 0)
-      return { job: { status: 'open', tasks: spec.tasks }, conditions: [absent, open] };
-    await this.context.verify();
-    if (!this.context.mayDeny()) throw new StateRefused('not known yet');
-    return null;
+    return { job, condition: { key: entry.key, version: entry.version } };
   }
 
   private view(id: string, job: JobRecord): JobView {
@@ -234,10 +177,6 @@
       if (known) return { status: 200, body: encodeView(this.view(spec.id, known.job)) };
       return never === null ? answers.undecided : { status: 422, body: { error: never } };
     }
-    if (!this.context.mayAccept()) {
-      const known = await this.read(spec.id);
-      return known ? { status: 200, body: encodeView(this.view(spec.id, known.job)) } : answers.undecided;
-    }
     const job: JobRecord = { status: 'open', tasks: spec.tasks };
     const open: OpenJobRecord = {
       spec,
@@ -249,13 +188,8 @@
       { op: 'put', key: openJobKey(spec.id), value: open },
     ];
     try {
-      // Its open record alone may be left: then it was accepted before, and is not divided anew.
-      const unknown = [jobKey(spec.id), openJobKey(spec.id)].map((key) => ({ key, version: 0 }));
-      const result = await this.context.store.txn(unknown, writes, 'user');
-      if (result.kind === 'committed') {
-        this.keepAccepted(spec.id, open);
-        return { status: 201, body: encodeState(spec.id, 'queued') };
-      }
+      const result = await this.context.store.txn([{ key: jobKey(spec.id), version: 0 }], writes, 'user');
+      if (result.kind === 'committed') return { status: 201, body: encodeState(spec.id, 'queued') };
     } catch (error) {
       // Unknown whether it was applied: only what is read back may be told.
       if (!(error instanceof NoAnswer)) throw error;
@@ -264,13 +198,6 @@
     return known ? { status: 200, body: encodeView(this.view(spec.id, known.job)) } : answers.undecided;
   }
 
-  private keepAccepted(id: string, record: OpenJobRecord): void {
-    if (this.context.replica.version(openJobKey(id)) !== 0) return;
-    this.accepted.set(id, record);
-    if (this.accepted.size <= ACCEPTED_MOST) return;
-    for (const oldest of this.accepted.keys()) return void this.accepted.delete(oldest);
-  }
-
   /** Why the job can never run, or null if it can. */
   private neverRuns(spec: JobSpec, catalog: MachineType[]): string | null {
     const team = this.context.settings.teams.get(spec.team);
@@ -335,12 +262,12 @@
     for (let tries = 0; tries < WITHDRAW_TRIES; tries++) {
       const found = await this.read(id);
       if (!found) return answers.notFound;
-      const { job, conditions } = found;
+      const { job, condition } = found;
       if (job.status !== 'open') return { status: 200, body: encodeState(id, job.status) };
       const result = await this.context.store.txn(
-        conditions,
+        [condition],
         [
-          { op: 'put', key: jobKey(id), value: { ...job, status: 'cancelled' } },
+          { op: 'put', key: condition.key, value: { ...job, status: 'cancelled' } },
           { op: 'delete', key: openJobKey(id) },
         ],
         'user',
@@ -352,10 +279,3 @@
     return answers.undecided;
   }
 }
-
-/** Notes a job's end; the oldest is given up where there are too many. */
-function keep(ends: Map<string, 'done' | 'cancelled'>, id: string, status: 'done' | 'cancelled'): void {
-  ends.set(id, status);
-  if (ends.size <= FINAL_CACHE) return;
-  for (const oldest of ends.keys()) return void ends.delete(oldest);
-}
--- a/packages/scheduler/src/coordination/limits/team-usage.ts
+++ b/packages/scheduler/src/coordination/limits/team-usage.ts
@@ -107,19 +107,6 @@
     return false;
   }
 
-  /** After a loss the split may be an older one than what runs: the share in use is wanted from the others. */
-  noteOveruse(): void {
-    for (const [team, { cores, accelerators }] of this.placed) {
-      if (!this.limits.limited(team)) continue;
-      const share = this.limits.share(team, this.part);
-      const over = {
-        cores: Math.max(0, cores - share.cores),
-        accelerators: Math.max(0, accelerators - share.accelerators),
-      };
-      if (over.cores > 0 || over.accelerators > 0) this.wants.set(team, over);
-    }
-  }
-
   noteWant(slice: Slice): void {
     const { team, cores, accelerators } = slice.spec;
     const want = this.wants.get(team) ?? { cores: 0, accelerators: 0 };
--- a/packages/scheduler/src/coordination/machines/machine-orders.ts
+++ b/packages/scheduler/src/coordination/machines/machine-orders.ts
@@ -43,8 +43,6 @@
     const orders: Order[] = [];
     const launching = machine.fenced && machine.recorded && this.part.mayAct();
     for (const attempt of machine.attempts.values()) {
-      // Of a job that nobody knows yet: left alone until nobody can say any more what it belongs to.
-      if (attempt.halting && attempt.slice === null && !this.context.unknownIsOver()) continue;
       if (attempt.halting) {
         orders.push({ op: 'halt', task: attempt.task, attempt: attempt.number, graceS: attempt.graceS });
       } else if (launching && typeof attempt.number === 'number') {
@@ -70,7 +68,6 @@
       if (machine.unforgettable.has(key)) continue;
       const { slice, position } = ended;
       if (slice && !slice.withdrawn && !slice.recorded.has(position)) continue;
-      if (slice === null && ended.reason === 'done' && !this.context.unknownIsOver()) continue;
       orders.push({ op: 'forget', task: ended.task, attempt: ended.number });
       // A task that ended without a result may soon be started again, on this machine too.
       if (ended.reason !== 'done' || ended.at <= longAgo) due = true;
--- a/packages/scheduler/src/coordination/ownership/membership.ts
+++ b/packages/scheduler/src/coordination/ownership/membership.ts
@@ -27,8 +27,6 @@
   parts: PartMap;
   /** Whether many machines of parts just taken over are still to be asked to accept this node. */
   busy: () => boolean;
-  /** Tokens of this epoch are above it; a record with another is of an epoch before. */
-  floor: () => number;
 }
 
 /**
@@ -63,21 +61,13 @@
     else this.owners.delete(part);
   }
 
-  /** A new epoch: who is up and who owns what begins anew. */
-  onEpoch(): void {
-    this.lease = null;
-    this.loaded = false;
-    this.ownerlessSince.clear();
-  }
-
   onCaughtUp(): void {
     if (!this.loaded) this.loadedAt = this.context.clock.now();
     this.loaded = true;
   }
 
   owner(part: string): PartRecord | null {
-    const record = this.owners.get(part);
-    return record && record.token > this.context.floor() ? record : null;
+    return this.owners.get(part) ?? null;
   }
 
   isSelf(record: PartRecord): boolean {
@@ -202,7 +192,7 @@
     const { self } = this.context;
     const now = this.context.clock.now();
     for (const part of this.context.parts.names) {
-      const record = this.owner(part);
+      const record = this.owners.get(part) ?? null;
       if (record && this.alive(record)) {
         this.ownerlessSince.delete(part);
         if (this.isSelf(record)) await this.handBack(part, record, now);
@@ -322,11 +312,7 @@
     why: string,
   ): Promise<void> {
     const { layout } = this.context.parts;
-    const value: PartRecord = {
-      ...to,
-      token: Math.max(before?.token ?? 0, this.context.floor()) + 1,
-      layout,
-    };
+    const value: PartRecord = { ...to, token: (before?.token ?? 0) + 1, layout };
     try {
       const result = await this.context.store.txn(
         conditions,
--- a/packages/scheduler/src/coordination/ownership/owned-parts.ts
+++ b/packages/scheduler/src/coordination/ownership/owned-parts.ts
@@ -33,8 +33,6 @@
   PartContext,
   'typeOf' | 'lateSince' | 'takeFence' | 'onOutdated'
 > {
-  /** A machine carries a higher token than the part's. */
-  onNewerToken: (part: string) => void;
   signal: AbortSignal;
   membership: Membership;
   parts: PartMap;
@@ -98,20 +96,6 @@
     if (mine && !this.owned.has(name)) this.begin(name, record.token);
   }
 
-  /** What all its parts have recorded as settled, by slice: results not recorded yet are still at the machines. */
-  recorded(): Map<string, string> {
-    const slices = this.all().flatMap((part) => [...part.slices.values()]);
-    return new Map(slices.filter((s) => s.recorded.size > 0).map((s) => [s.name, s.recorded.encode()]));
-  }
-
-  /** Nothing that is owned by the records of one epoch is in the next. */
-  giveUpAll(): void {
-    for (const { abort } of this.owned.values()) abort.abort();
-    this.owned.clear();
-    this.handovers.clear();
-    this.context.onOwnersChanged();
-  }
-
   private begin(name: string, token: number): void {
     const { settings, clock, log } = this.context;
     const abort = endless();
@@ -128,10 +112,7 @@
         typeOf: (type) => this.context.catalog()?.find((t) => t.name === type) ?? null,
         lateSince: (at) => this.context.lateness.since(at),
         takeFence: () => this.fences-- > 0,
-        onOutdated: (outdated) => {
-          log.info({ part: outdated }, 'a machine knows a newer owner');
-          this.context.onNewerToken(outdated);
-        },
+        onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
       },
       ends,
       {
--- a/packages/scheduler/src/coordination/part-context.ts
+++ b/packages/scheduler/src/coordination/part-context.ts
@@ -30,12 +30,6 @@
   takeFence: () => boolean;
   /** How long after its last proof of contact an owner may still answer reports. */
   proofMs: number;
-  /** Whether tasks may be started: after a loss, what nobody knows of may still be running somewhere. */
-  mayStart: () => boolean;
-  /** Whether a task of a job that nobody knows may be stopped. */
-  unknownIsOver: () => boolean;
-  /** A machine has a task of a job that is not in the records. */
-  onUnknownJob: (job: string) => void;
   /** A machine carries a higher token than this part's: someone else owns it. */
   onOutdated: (part: string) => void;
 }
--- a/packages/scheduler/src/coordination/part-tasks.ts
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -65,7 +65,7 @@
       const key = attemptKey(reported.task, reported.attempt);
       listed.add(key);
       const attempt =
-        this.known(machine, key) ??
+        machine.attempts.get(key) ??
         this.adopt(machine, key, reported.task, reported.attempt, reported.state, reported.reason);
       if (!attempt) continue;
       attempt.phase = 'seen';
@@ -117,14 +117,6 @@
     this.part.onFreed();
   }
 
-  /** The attempt as known; not if it was of a job that nobody knew, which may have been written back since. */
-  private known(machine: Machine, key: string): Attempt | null {
-    const attempt = machine.attempts.get(key);
-    if (!attempt || attempt.slice !== null || this.context.unknownIsOver()) return attempt ?? null;
-    this.detach(machine, attempt);
-    return null;
-  }
-
   /** A reported attempt that this owner did not start, or gave up: left by an owner before, or late. */
   private adopt(
     machine: Machine,
@@ -134,12 +126,8 @@
     state: Attempt['state'],
     reason: EndReason | null,
   ): Attempt | null {
+    if (machine.ended.has(key)) return null;
     const found = this.find(task);
-    const ended = machine.ended.get(key);
-    // A result whose job was not known when it was first reported.
-    if (ended && (reason !== 'done' || ended.slice !== null || found === null)) return null;
-    const job = found ? null : parseTaskName(task)?.job;
-    if (job) this.context.onUnknownJob(job);
     const slice = found?.slice ?? null;
     const position = found?.position ?? 0;
     const free = slice !== null && !slice.placed.has(position) && !slice.settled.has(position);
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -144,13 +144,7 @@
    */
   placeOn(machine: Machine): void {
     const now = this.context.clock.now();
-    if (
-      !this.part.mayAct() ||
-      !this.context.mayStart() ||
-      !this.isOpen(machine, now) ||
-      (room(machine)?.cores ?? 0) <= 0
-    )
-      return;
+    if (!this.part.mayAct() || !this.isOpen(machine, now) || (room(machine)?.cores ?? 0) <= 0) return;
     const queue = this.queue();
     if (queue.length > 0) this.serve(queue, [machine], now, 'one machine');
   }
@@ -158,8 +152,7 @@
   /** Gives waiting tasks machines. `answering`: the machine whose report is being answered with its orders. */
   place(answering: Machine | null = null): void {
     this.part.usage.wants.clear();
-    this.part.usage.noteOveruse();
-    if (!this.part.mayAct() || !this.context.mayStart()) return;
+    if (!this.part.mayAct()) return;
     const now = this.context.clock.now();
     this.placedAt = now;
     const queue = this.queue();
--- a/packages/scheduler/src/protocol/state.ts
+++ b/packages/scheduler/src/protocol/state.ts
@@ -18,9 +18,7 @@
 export type StateEvent =
   { op: 'put'; key: string; value: unknown; version: Int } | { op: 'delete'; key: string; version: Int };
 export type TxnResult =
-  | { kind: 'committed'; revision: Int }
-  | { kind: 'conflict'; failed: string[]; revision: Int | null }
-  | { kind: 'no_lease' };
+  { kind: 'committed'; revision: Int } | { kind: 'conflict'; failed: string[] } | { kind: 'no_lease' };
 
 /** The state service refused the call: it was not carried out. A missing answer is a `NoAnswer` instead. */
 export class StateRefused extends Error {}
@@ -28,8 +26,7 @@
 export class TooOld extends Error {}
 
 export interface StateApi {
-  /** `revision`: where the key does not exist, that at which it does not. */
-  get(key: string): Promise<{ entry: Entry | null; revision: Int | null }>;
+  get(key: string): Promise<Entry | null>;
   list(prefix: string, after: string | null): Promise<{ entries: Entry[]; more: boolean; revision: Int }>;
   txn(conditions: Condition[], writes: Write[]): Promise<TxnResult>;
   grant(lifeMs: number): Promise<Int>;
@@ -41,8 +38,7 @@
 const entry = z.object({ key: z.string(), v: z.unknown(), edizione: int });
 const page = z.object({ items: z.array(entry), truncated: z.nullish(z.boolean()), protocollo: int });
 const committed = z.object({ protocollo: int });
-const failed = z.object({ failed: z.nullish(z.array(z.string())), protocollo: z.nullish(int) });
-const absent = z.object({ protocollo: z.nullish(int) });
+const failed = z.object({ failed: z.nullish(z.array(z.string())) });
 const lease = z.object({ concessione: int });
 const changes = z.object({
   protocollo: int,
@@ -101,12 +97,9 @@
   return {
     get: async (key) => {
       const answer = await call('GET', `/kv/${key}`);
-      if (answer.status === 404) {
-        const revision = z.safeParse(absent, answer.body).data?.protocollo ?? null;
-        return { entry: null, revision };
-      }
+      if (answer.status === 404) return null;
       const e = expect(entry, answer);
-      return { entry: { key: e.key, value: e.v, version: e.edizione }, revision: null };
+      return { key: e.key, value: e.v, version: e.edizione };
     },
     list: async (prefix, after) => {
       const from = after === null ? '' : `&from=${after}`;
@@ -119,10 +112,8 @@
     },
     txn: async (conditions, writes) => {
       const answer = await call('POST', '/txn', encodeTxn(conditions, writes));
-      if (answer.status === 409) {
-        const told = z.parse(failed, answer.body);
-        return { kind: 'conflict', failed: told.failed ?? [], revision: told.protocollo ?? null };
-      }
+      if (answer.status === 409)
+        return { kind: 'conflict', failed: z.parse(failed, answer.body).failed ?? [] };
       if (answer.status === 400 && (answer.body as { error?: unknown } | null)?.error === 'no such lease') {
         return { kind: 'no_lease' };
       }
