--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -68,6 +68,8 @@
   readonly workload: Workload = new Map();
   readonly judge: Judge;
   readonly users: Users;
+  /** Where users' requests come from. */
+  readonly usersHost: Host;
   readonly workers = new Map<string, Worker>();
   readonly balancer: LoadBalancer;
   private readonly processes = new Map<number, Process>();
@@ -110,6 +112,7 @@
     const teamCores = new Map(deployment.teams.map((team) => [team.name, team.maxCores]));
     this.judge = new Judge(time, this.workload, { teamCores, cancelMs: deployment.cancelS * 1000 });
     const users = host('users', 'users');
+    this.usersHost = users;
     const addresses = deployment.nodes.map((_, i) => this.address(i));
     this.balancer = new LoadBalancer(time, fork(), this.network, users, addresses);
     this.users = new Users(time, fork(), this.network, users, this.balancer, this.judge, this.workload);
@@ -139,8 +142,8 @@
     return this.processes.get(node)?.controller.ownedParts ?? [];
   }
 
-  /** Starts the controller's process; it serves a moment later. */
-  start(node: number): void {
+  /** Starts the controller's process; it serves `startMs` later. */
+  start(node: number, startMs = START_MS): void {
     if (this.processes.has(node)) return;
     const zone = this.deployment.nodes[node] ?? '';
     const host: Host = {
@@ -170,8 +173,8 @@
         peers.filter((i) => this.processes.get(i) && this.meshOpen(host, i)).map((i) => this.name(i)),
       signal: never.signal,
     });
-    this.processes.set(node, { host, controller, servesFrom: this.time.now + START_MS });
-    this.time.after(START_MS, () => {
+    this.processes.set(node, { host, controller, servesFrom: this.time.now + startMs });
+    this.time.after(startMs, () => {
       if (host.status !== 'up') return;
       const serve = httpApi(controller);
       this.network.serve(this.address(node), host, async ({ method, path, body }) =>
@@ -222,9 +225,10 @@
     if (lostAt === null) return;
     if ([...this.processes.values()].some((process) => process.servesFrom < lostAt)) return;
     this.lostAt = null;
+    const has = (key: string): boolean => this.state.read(key) !== undefined;
     this.judge.excuse(
-      (job) => this.state.read(`job/${job}`) !== undefined,
-      (job) => this.state.read(`live/job/${job}`) !== undefined,
+      (job) => has(`job/${job}`) || has(`live/job/${job}`),
+      (job) => has(`live/job/${job}`),
     );
   }
 
@@ -272,13 +276,27 @@
     return peer !== undefined && this.network.meshOpen(from, peer.host);
   }
 
+  /** What controllers say to one another, for stories. */
+  protected onMesh: (from: string, to: string, message: MeshMessage) => void = () => {};
+
   private sendMesh(from: Host, peer: string, message: MeshMessage): boolean {
     const at = this.deployment.nodes.findIndex((_, i) => this.name(i) === peer);
     const to = this.processes.get(at);
     if (!to) return false;
     // Cloned when it is sent: what its sender changes later is not in the frame.
     const sent = structuredClone(message);
-    return this.network.mesh(from, to.host, () => to.controller.onMessage(from.name, sent));
+    this.onMesh(from.name, peer, sent);
+    return this.network.mesh(from, to.host, () => {
+      to.controller.onMessage(from.name, sent);
+      this.network.maybeAgain(() => this.deliverAgain(from, at, sent));
+    });
+  }
+
+  /** A late copy of a message between controllers, to the process that is there by now. */
+  deliverAgain(from: Host, to: number, message: MeshMessage): void {
+    const then = this.processes.get(to);
+    if (!then || from.status !== 'up' || !this.network.meshOpen(from, then.host)) return;
+    then.host.clock.whenAwake(() => then.controller.onMessage(from.name, structuredClone(message)));
   }
 
   private connectMesh(): void {
--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -101,6 +101,10 @@
 export const START_MS = 900;
 /** Milliseconds after which the platform starts a controller that ended again (DEPLOY: about 6 s). */
 export const RESTART_MS = 6000;
+/** Milliseconds within which a copy of a message that was delivered may be delivered again. */
+export const REPEAT_LATE_MS = 60_000;
+/** Milliseconds from its return to the next end of a controller that ends several times in a row, at most. */
+export const BACK_GAP_MS = 4000;
 /** Milliseconds for which a controller that is restarted in order is away. */
 export const ROLLING_MS = 2500;
 /** Virtual seconds before the first job, while the controllers come up. */
--- a/packages/emulator/src/day.ts
+++ b/packages/emulator/src/day.ts
@@ -7,6 +7,10 @@
   | { kind: 'end'; node: number }
   | { kind: 'end all' }
   | { kind: 'rolling'; gapS: number }
+  /** One node (null: all) ends so many times in a row, and is back each time after so many milliseconds. */
+  | { kind: 'back'; node: number | null; times: number; backMs: number }
+  /** Share of messages of which a copy comes again, late. */
+  | { kind: 'repeats'; share: number }
   | { kind: 'freeze'; node: number }
   | { kind: 'outage' }
   | { kind: 'refused'; node: number }
@@ -81,10 +85,11 @@
  * `storm`: few machines, and as much going wrong and waiting at once as fits. `silence`: machines that nobody hears and
  * nobody can return, under tasks longer than a lease, so that it is the end of their leases that frees tasks.
  * `strangers`: controllers and zones that are there and cannot reach what the others do. `losses`: the state service's
- * data is lost, in part or whole, while other things fail.
+ * data is lost, in part or whole, while other things fail. `returns`: processes are back within a fraction of a second,
+ * and late copies of what was said before follow.
  */
 export const sizes: Record<
-  'small' | 'storm' | 'silence' | 'strangers' | 'losses' | 'middle' | 'fleet',
+  'small' | 'storm' | 'silence' | 'strangers' | 'losses' | 'returns' | 'middle' | 'fleet',
   Size
 > = {
   small: {
@@ -149,6 +154,30 @@
       'die',
     ],
   },
+  returns: {
+    zones: [1, 3],
+    nodes: [2, 5],
+    machines: [2, 5],
+    jobs: [6, 14],
+    tasks: 30,
+    faults: [3, 10],
+    spanS: 60,
+    only: [
+      'back',
+      'repeats',
+      'freeze',
+      'outage',
+      'refused',
+      'late transactions',
+      'late cloud',
+      'cut',
+      'zone cut',
+      'hang',
+      'die',
+      'taken',
+      'sick',
+    ],
+  },
   middle: {
     zones: [1, 3],
     nodes: [2, 6],
@@ -253,8 +282,15 @@
     kind(1, 'no capacity', {}),
     // The protocol promises a store that loses nothing: only the size that is about losses has them.
     kind(14, 'lose', { loss: losses() }),
+    kind(14, 'back', {
+      node: fc.option(node, { freq: 3 }),
+      times: int(1, 4),
+      backMs: fc.oneof(int(50, 900), int(900, 10_000)),
+    }),
+    kind(14, 'repeats', { share: fc.constantFrom(0.02, 0.1, 0.3) }),
   ];
-  const wanted = kinds.filter(({ name }) => size.only?.includes(name) ?? name !== 'lose');
+  const special: Fault['kind'][] = ['lose', 'back', 'repeats'];
+  const wanted = kinds.filter(({ name }) => size.only?.includes(name) ?? !special.includes(name));
   const fault = fc.oneof(
     ...wanted.map(({ weight, name, fields }) => ({
       weight,
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -1,6 +1,6 @@
 import type { Random } from '@onyxkeel/scheduler';
 import type { Cluster } from './cluster.ts';
-import { RESTART_MS, ROLLING_MS } from './constants.ts';
+import { BACK_GAP_MS, RESTART_MS, ROLLING_MS, START_MS } from './constants.ts';
 import type { Fault } from './day.ts';
 import type { Host } from './network.ts';
 import type { Worker } from './worker.ts';
@@ -24,6 +24,7 @@
 
   /** When the last effect of a fault that its `forS` does not name is over: the restart of what it ended. */
   static overS(fault: Fault, nodes: number): number {
+    if (fault.kind === 'back') return fault.atS + (fault.times * (fault.backMs + BACK_GAP_MS)) / 1000;
     if (fault.kind === 'rolling') return fault.atS + fault.gapS * nodes + (ROLLING_MS + RESTART_MS) / 1000;
     return fault.atS + fault.forS + RESTART_MS / 1000;
   }
@@ -66,6 +67,13 @@
           cluster.time.after(n * fault.gapS * 1000, () => this.endNode(n, ROLLING_MS));
         }
         return null;
+      case 'back':
+        for (let n = 0; n < deployment.nodes.length; n++)
+          if (fault.node === null || n === nodeOf(fault.node)) this.endAgain(n, fault.times, fault.backMs);
+        return null;
+      case 'repeats':
+        cluster.network.repeatShare = fault.share;
+        return () => (cluster.network.repeatShare = 0);
       case 'freeze':
         cluster.freeze(nodeOf(fault.node), fault.forS * 1000);
         return null;
@@ -129,6 +137,16 @@
     }
   }
 
+  /** Ends the node and has it back after so long, several times in a row. */
+  private endAgain(node: number, times: number, backMs: number): void {
+    this.cluster.end(node);
+    this.cluster.time.after(backMs, () => {
+      this.cluster.start(node, this.random.below(START_MS));
+      if (times > 1)
+        this.cluster.time.after(this.random.below(BACK_GAP_MS), () => this.endAgain(node, times - 1, backMs));
+    });
+  }
+
   private endNode(node: number, backMs: number): void {
     this.cluster.end(node);
     this.cluster.time.after(backMs, () => this.cluster.start(node));
--- a/packages/emulator/src/network.ts
+++ b/packages/emulator/src/network.ts
@@ -12,6 +12,7 @@
   IDLE_CONNECTION_MS,
   JITTER,
   LOSS,
+  REPEAT_LATE_MS,
   RESEND_MS,
   SAME_ZONE_MS,
 } from './constants.ts';
@@ -62,6 +63,11 @@
   private readonly open = new Map<string, number>();
   private readonly lastDelivery = new Map<string, number>();
   private readonly cutListeners: (() => void)[] = [];
+  /**
+   * Share of messages that were delivered of which a copy comes once more, to whoever is at the address by then. Not of
+   * orders to workers: PROTOCOL, "Workers", says which of those may be repeated, and the network delivers them once.
+   */
+  repeatShare = 0;
   /** Calls that reached their host, by its kind. */
   readonly calls = { node: 0, worker: 0, state: 0, cloud: 0, users: 0 };
 
@@ -195,6 +201,7 @@
         this.calls[host.kind]++;
         const request = { method: call.method, path: call.path, body: call.body ?? '', from };
         const reply = serve(request);
+        if (host.kind !== 'worker') this.maybeAgain(() => this.again(call.address, request));
         if (reply instanceof Promise) void reply.then((late) => host.clock.whenAwake(() => answer(late)));
         else answer(reply);
       };
@@ -209,6 +216,19 @@
     });
   }
 
+  /** Lets something that was delivered come once more, later, where messages are repeated at all. */
+  maybeAgain(deliver: () => void): void {
+    if (this.repeatShare === 0 || this.random.below(1000) >= this.repeatShare * 1000) return;
+    this.time.after(this.random.below(REPEAT_LATE_MS), deliver);
+  }
+
+  /** A late copy of a request: nobody waits for its answer. */
+  private again(address: string, request: Request): void {
+    const target = this.hosts.get(address);
+    if (target?.host.status !== 'up' || this.cutBetween(request.from, target.host)) return;
+    target.host.clock.whenAwake(() => void target.serve(request));
+  }
+
   /** What a new connection to the address meets now. */
   accepts(from: Host, address: string): 'accepted' | 'refused' | 'silent' {
     const host = this.hosts.get(address)?.host;
--- a/packages/emulator/src/worker.ts
+++ b/packages/emulator/src/worker.ts
@@ -131,6 +131,11 @@
 
   // --- reports ---
 
+  /** A report as it would be sent now, for stories of copies that come late. */
+  reportText(): string {
+    return this.report();
+  }
+
   private report(): string {
     const { machine } = this;
     const left = this.noticeUntil === null ? null : (this.noticeUntil - this.host.clock.now()) / 1000;
--- a/packages/emulator/test/moves.test.ts
+++ b/packages/emulator/test/moves.test.ts
@@ -15,17 +15,17 @@
   return world;
 }
 
-/** Meddles with the first move of the job's tasks: a change of its record alone, as neither its acceptance nor its end is. */
+/** Meddles with the first move of the job's tasks: the first change of its record alone after its acceptance. */
 function meddle(
   world: World,
   job: string,
   fate: Fate,
   onSent: (node: number) => void = () => {},
 ): () => number {
-  let moves = 0;
+  let moves = -1; // the acceptance comes first
   world.state.fate = (keys, from) => {
     if (keys.length !== 1 || keys[0] !== `live/job/${job}`) return null;
-    if (moves++ > 0) return null;
+    if (moves++ !== 0) return null;
     onSent(Number(from.name.split('-')[1]));
     return fate;
   };
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -128,8 +128,8 @@
   {
     name: 'poll answered from a stale replica',
     file: 'coordination/jobs/jobs.ts',
-    find: '(await replica.provenWithin(POLL_WAIT_MS))',
-    put: 'true',
+    find: 'await replica.provenWithin(POLL_WAIT_MS);',
+    put: 'true;',
     size: 'strangers',
   },
   {
@@ -153,4 +153,25 @@
     put: "if (time === 'again') {",
     size: 'strangers',
   },
+  {
+    name: 'an incarnation not told apart',
+    file: 'coordination/ownership/membership.ts',
+    find: 'return this.nodes.get(record.owner)?.incarnation === record.incarnation;',
+    put: 'return this.nodes.has(record.owner);',
+    size: 'returns',
+  },
+  {
+    name: 'a repeated submission carried out twice',
+    file: 'coordination/jobs/jobs.ts',
+    find: '[key, jobKey(spec.id)].map',
+    put: '[key].map',
+    size: 'returns',
+  },
+  {
+    name: 'a result known twice forgotten before its record',
+    file: 'coordination/part-tasks.ts',
+    find: 'return { slice, position: slice.position(parsed.index) };',
+    put: 'return slice.settled.has(slice.position(parsed.index)) ? null : { slice, position: slice.position(parsed.index) };',
+    size: 'returns',
+  },
 ];
--- a/packages/scheduler/src/bookkeeping/machines.ts
+++ b/packages/scheduler/src/bookkeeping/machines.ts
@@ -24,6 +24,8 @@
   /** Seconds a task being stopped has for saving. */
   graceS: number;
   startedAt: number;
+  /** Since when it has been reported as running; infinite before. */
+  runningAt: number;
 }
 
 export interface EndedAttempt {
@@ -83,8 +85,10 @@
   deafSince: number;
   /** Questions since its last answer that it left unanswered while others of its part were heard: the network let them. */
   missed: number;
-  faults: number;
-  faultJobs: Set<string>;
+  /** Failed tasks since the last result, by job, and when the last of them failed. */
+  readonly faults: Map<string, { count: number; at: number }>;
+  /** Being drained because of them. */
+  faulty: boolean;
   pausedUntil: number;
 }
 
@@ -125,8 +129,8 @@
     emptySince: now,
     deafSince: Infinity,
     missed: 0,
-    faults: 0,
-    faultJobs: new Set(),
+    faults: new Map(),
+    faulty: false,
     pausedUntil: 0,
   };
 }
--- a/packages/scheduler/src/bookkeeping/records.ts
+++ b/packages/scheduler/src/bookkeeping/records.ts
@@ -57,8 +57,9 @@
 export interface QuotaRecord {
   shares: Record<string, Amounts>;
 }
+/** How a job ended, kept for ever. Written when its open record is removed, by the same transaction. */
 export interface JobRecord {
-  status: 'open' | 'done' | 'cancelled';
+  status: 'done' | 'cancelled';
   tasks: number;
 }
 
@@ -119,7 +120,7 @@
   shares: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
 });
 const job = z.object({
-  status: z.enum(['open', 'done', 'cancelled']),
+  status: z.enum(['done', 'cancelled']),
   tasks: z.number(),
 });
 
@@ -157,6 +158,9 @@
 export function readJob(value: unknown): JobRecord {
   return z.parse(job, value);
 }
+export function readOpenJob(value: unknown): OpenJobRecord {
+  return z.parse(openJob, value);
+}
 
 /** The most tasks one slice may hold for its record to stay under the value limit: six bits a character. */
 export function sliceCapacity(valueKb: number): number {
--- a/packages/scheduler/src/bookkeeping/slices.ts
+++ b/packages/scheduler/src/bookkeeping/slices.ts
@@ -89,10 +89,9 @@
     return this.waiting.length / this.count;
   }
 
-  /** The position of the job's task `index`, or null if this slice does not have it to run. */
-  position(index: number): number | null {
-    const p = index - this.from;
-    return p >= 0 && p < this.count && !this.settled.has(p) ? p : null;
+  /** The position of the job's task `index`, which the slice has. */
+  position(index: number): number {
+    return index - this.from;
   }
 
   has(index: number): boolean {
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -121,6 +121,8 @@
 export const SILENT_REPORTS = 1.8;
 /** Report intervals of silence after which an unanswering machine is returned. */
 export const LOST_REPORTS = 2.4;
+/** Names of gone machines that a part's owner remembers; late copies of reports come minutes later at the most. */
+export const GONE_MOST = 2000;
 /** Share of a part's machines above which silence is laid to the owner: while others are heard, it is theirs. */
 export const SILENT_SHARE = 0.8;
 /**
@@ -138,10 +140,29 @@
 export const SILENT_FEW = 2;
 /** Milliseconds a machine gets no new tasks after the first task that failed on it; doubles each time. */
 export const FAULT_PAUSE_MS = 4000;
-/** Failed tasks in a row, from at least two jobs, after which a machine is drained and returned. */
-export const FAULTS_TO_DRAIN = 2;
+/** How often that pause doubles at the most. */
+export const FAULT_PAUSE_DOUBLES = 5;
+/**
+ * What speaks against a machine, from which it is drained and returned: each failure of a sound job two, a job that has
+ * failed nowhere else one, both since its last result. Two jobs that begin with a mistake on one machine are too few.
+ */
+export const BLAME_TO_DRAIN = 3;
+export const BLAME_SOUND = 2;
+export const BLAME_LONE = 1;
+/**
+ * Machines on which a job's tasks must have failed, with no result and none running on, to count as failing everywhere:
+ * of fewer it may be that they are all faulty, and a job with a mistake costs little until then.
+ */
+export const FAILING_MACHINES = 3;
+/** Failing jobs that siblings are told of; a few a minute come, and users cancel them. */
+export const FAILING_TOLD_MOST = 200;
+/** Ratio, and milliseconds more, by which a task must outlive those that failed to speak for its job: reports come late. */
+export const SURVIVES_FACTOR = 2;
+export const SURVIVES_MS = 2000;
 /** Milliseconds before a task that failed is tried again; doubles to the limit below. */
 export const TASK_RETRY_MS = 500;
+/** How often that doubles at the most. */
+export const TASK_RETRY_DOUBLES = 10;
 /** Milliseconds. The longest pause before a failing task is tried again. */
 export const TASK_RETRY_MAX_MS = 30_000;
 
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -31,6 +31,7 @@
 import { Averages } from './placing/averages.ts';
 import { Catalog } from './machines/catalog.ts';
 import { CloudCalls } from './machines/cloud-calls.ts';
+import { FailingJobs } from './jobs/failing-jobs.ts';
 import { Jobs } from './jobs/jobs.ts';
 import { JobEnds } from './jobs/job-ends.ts';
 import { JobOrder } from './placing/job-order.ts';
@@ -76,6 +77,10 @@
   private readonly siblings: SiblingCalls;
   private readonly moves: Moves;
   private readonly vouching: Vouching;
+  private readonly failing = new FailingJobs({
+    longestRunMs: (job) => Math.max(0, ...this.owned.all().map((part) => part.longestRunMs(job))),
+    onChanged: (job) => this.owned.all().forEach((part) => part.onFailingChanged(job)),
+  });
   private readonly openJobs = new OpenJobs();
   private readonly machinePages = new KnownPages<MachinesRecord>();
   private readonly progressPages = new KnownPages<ProgressRecord>();
@@ -147,6 +152,7 @@
       store,
       openJobs,
       owns: (part) => this.owned.get(part) !== undefined,
+      onDone: (job) => this.jobs.remember(job, 'done'),
     });
     const partNames = this.parts.names;
     this.limitShifts = new LimitShifts({
@@ -165,8 +171,8 @@
       0,
       settings.cancelMs / (1 + CLOCK_DRIFT) - settings.leaseMs * (1 + CLOCK_DRIFT) - 2 * LEASE_MARGIN_MS,
     );
-    const { membership, machinePages, progressPages } = this;
-    const order = new JobOrder({ settings, clock, wallClock, openJobs, limits, averages });
+    const { membership, machinePages, progressPages, failing } = this;
+    const order = new JobOrder({ settings, clock, wallClock, openJobs, limits, averages, failing });
     const catalog = (): MachineType[] | null => this.catalog.types;
     this.owned = new OwnedParts({
       settings,
@@ -182,6 +188,7 @@
       parts: this.parts,
       limits,
       averages,
+      failing,
       cloud: this.cloud,
       openJobs,
       lateness: this.lateness,
@@ -205,12 +212,14 @@
       averages,
       parts: this.parts,
       catalog,
+      isFailing: (job) => failing.isFailing(job),
       record: (job) => openJobs.jobs.get(job)?.record ?? null,
       owned: () => this.owned.all(),
     });
     this.vouching = new Vouching({
       clock,
       signal,
+      incarnation: deps.incarnation,
       siblings: settings.siblings.map((sibling) => sibling.name),
       connectedSiblings: deps.connectedSiblings,
       sendToSibling: deps.sendToSibling,
@@ -221,6 +230,7 @@
       clock,
       log,
       signal,
+      incarnation: deps.incarnation,
       sendToSibling: deps.sendToSibling,
       connectedSiblings: deps.connectedSiblings,
       here: (op, body) => this.jobs.here(op, body),
@@ -275,6 +285,7 @@
           return;
         }
         const job = this.openJobs.remove(id);
+        this.failing.drop(id);
         if (!job) return;
         for (const part of this.owned.all()) {
           for (const given of this.openJobs.given(job, part.name)) part.dropSlice(given.name);
@@ -364,7 +375,8 @@
     const message = decodeMesh(raw);
     switch (message?.kind) {
       case 'part':
-        return this.averages.set(message, false);
+        if (this.averages.set(message, false)) this.failing.hear(message.part, message.failing);
+        return;
       case 'handover':
         return this.owned.onHandover(message);
       case 'vouch':
@@ -384,6 +396,7 @@
 
   private tickParts(): void {
     if (this.loaded) void this.jobEnds.endAll();
+    this.failing.tick();
     this.owned.tick();
   }
 
--- a/packages/scheduler/src/coordination/jobs/job-ends.ts
+++ b/packages/scheduler/src/coordination/jobs/job-ends.ts
@@ -18,6 +18,8 @@
       store: Store;
       openJobs: OpenJobs;
       owns: (part: string) => boolean;
+      /** The job's end is committed. */
+      onDone: (job: string) => void;
     },
   ) {}
 
@@ -56,6 +58,7 @@
         ],
         'user',
       );
+      if (result.kind === 'committed') this.context.onDone(id);
       const tookS = Math.round((this.context.wallClock() - record.at) / 1000);
       this.context.log.debug(
         { job: id, class: of, tasks, estimateS, tookS, result: result.kind },
--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -12,12 +12,13 @@
   openJobKey,
   type OpenJobRecord,
   readJob,
+  readOpenJob,
   sliceCapacity,
   type SliceRange,
 } from '../../bookkeeping/records.ts';
 import type { Replica, Store } from '../../bookkeeping/store.ts';
 import type { MachineType } from '../../protocol/cloud.ts';
-import { type Condition, StateRefused, type Write } from '../../protocol/state.ts';
+import { type Condition, StateRefused } from '../../protocol/state.ts';
 import {
   answers,
   encodeState,
@@ -34,6 +35,10 @@
 import type { Averages } from '../placing/averages.ts';
 import type { PartMap } from '../ownership/parts.ts';
 
+/** What the state service has of a job: its open record, with its version, or its end. */
+type Found =
+  { status: 'open'; tasks: number; condition: Condition } | { status: 'done' | 'cancelled'; tasks: number };
+
 export type UserOp = 'submit' | 'status' | 'withdraw';
 
 export interface JobsContext {
@@ -131,7 +136,8 @@
     return { status: 200, body: encodeView({ id, status, done: 0, running: 0 }) };
   }
 
-  private remember(id: string, status: 'done' | 'cancelled'): void {
+  /** The job is over: read, or committed by this node. */
+  remember(id: string, status: 'done' | 'cancelled'): void {
     this.over.set(id, status);
     if (this.over.size <= FINAL_CACHE) return;
     for (const oldest of this.over.keys()) {
@@ -140,15 +146,26 @@
     }
   }
 
-  private async read(id: string): Promise<{ job: JobRecord; condition: Condition } | null> {
+  /**
+   * What the state service has of the job; null: it was not accepted when this began. The open record is read first, as
+   * its end removes it and writes the other at once: what is in neither of them, in this order, was never accepted.
+   */
+  private async read(id: string): Promise<Found | null> {
+    const open = await this.context.store.get(openJobKey(id), 'user');
+    if (!open) return this.readEnd(id);
+    const { spec } = readOpenJob(open.value);
+    return { status: 'open', tasks: spec.tasks, condition: { key: open.key, version: open.version } };
+  }
+
+  private async readEnd(id: string): Promise<Found | null> {
     const entry = await this.context.store.get(jobKey(id), 'user');
     if (!entry) return null;
     const job = readJob(entry.value);
-    if (job.status !== 'open') this.remember(id, job.status);
-    return { job, condition: { key: entry.key, version: entry.version } };
+    this.remember(id, job.status);
+    return job;
   }
 
-  private view(id: string, job: JobRecord): JobView {
+  private view(id: string, job: { status: Found['status']; tasks: number }): JobView {
     if (job.status !== 'open') {
       return { id, status: job.status, done: job.status === 'done' ? job.tasks : 0, running: 0 };
     }
@@ -158,15 +175,13 @@
   }
 
   private async statusHere(id: string): Promise<UserAnswer> {
-    // A poll for a job that is open, as most are, needs no read of its own.
-    const { replica } = this.context;
-    if (replica.version(openJobKey(id)) !== 0 && (await replica.provenWithin(POLL_WAIT_MS))) {
-      const spec = this.context.openSpec(id);
-      if (spec)
-        return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks: spec.tasks })) };
-    }
-    const found = await this.read(id);
-    return found ? { status: 200, body: encodeView(this.view(id, found.job)) } : answers.notFound;
+    const { replica, openSpec } = this.context;
+    // A poll for a job that is open, as most are, needs no read of its own; any other one read, not two.
+    const proven = await replica.provenWithin(POLL_WAIT_MS);
+    const spec = proven ? openSpec(id) : null;
+    if (spec) return { status: 200, body: encodeView(this.view(id, { status: 'open', tasks: spec.tasks })) };
+    const found = await (proven ? this.readEnd(id) : this.read(id));
+    return found ? { status: 200, body: encodeView(this.view(id, found)) } : answers.notFound;
   }
 
   private async submitHere(spec: JobSpec): Promise<UserAnswer> {
@@ -174,28 +189,26 @@
     const never = catalog ? this.neverRuns(spec, catalog) : null;
     if (!catalog || never !== null) {
       const known = await this.read(spec.id);
-      if (known) return { status: 200, body: encodeView(this.view(spec.id, known.job)) };
+      if (known) return { status: 200, body: encodeView(this.view(spec.id, known)) };
       return never === null ? answers.undecided : { status: 422, body: { error: never } };
     }
-    const job: JobRecord = { status: 'open', tasks: spec.tasks };
-    const open: OpenJobRecord = {
+    const key = openJobKey(spec.id);
+    const value: OpenJobRecord = {
       spec,
       at: this.context.wallClock(),
       slices: this.shareOut(spec, catalog),
     };
-    const writes: Write[] = [
-      { op: 'put', key: jobKey(spec.id), value: job },
-      { op: 'put', key: openJobKey(spec.id), value: open },
-    ];
+    // Neither open nor over: a repetition that comes late finds one of the two.
+    const conditions = [key, jobKey(spec.id)].map((each) => ({ key: each, version: 0 }));
     try {
-      const result = await this.context.store.txn([{ key: jobKey(spec.id), version: 0 }], writes, 'user');
+      const result = await this.context.store.txn(conditions, [{ op: 'put', key, value }], 'user');
       if (result.kind === 'committed') return { status: 201, body: encodeState(spec.id, 'queued') };
     } catch (error) {
       // Unknown whether it was applied: only what is read back may be told.
       if (!(error instanceof NoAnswer)) throw error;
     }
     const known = await this.read(spec.id);
-    return known ? { status: 200, body: encodeView(this.view(spec.id, known.job)) } : answers.undecided;
+    return known ? { status: 200, body: encodeView(this.view(spec.id, known)) } : answers.undecided;
   }
 
   /** Why the job can never run, or null if it can. */
@@ -262,13 +275,14 @@
     for (let tries = 0; tries < WITHDRAW_TRIES; tries++) {
       const found = await this.read(id);
       if (!found) return answers.notFound;
-      const { job, condition } = found;
-      if (job.status !== 'open') return { status: 200, body: encodeState(id, job.status) };
+      if (found.status !== 'open') return { status: 200, body: encodeState(id, found.status) };
+      const { condition, tasks } = found;
+      const end: JobRecord = { status: 'cancelled', tasks };
       const result = await this.context.store.txn(
         [condition],
         [
-          { op: 'put', key: condition.key, value: { ...job, status: 'cancelled' } },
-          { op: 'delete', key: openJobKey(id) },
+          { op: 'put', key: jobKey(id), value: end },
+          { op: 'delete', key: condition.key },
         ],
         'user',
       );
--- a/packages/scheduler/src/coordination/limits/team-usage.ts
+++ b/packages/scheduler/src/coordination/limits/team-usage.ts
@@ -107,11 +107,12 @@
     return false;
   }
 
-  noteWant(slice: Slice): void {
+  /** Notes that so many of the slice's tasks wait for want of share. */
+  noteWant(slice: Slice, tasks: number): void {
     const { team, cores, accelerators } = slice.spec;
     const want = this.wants.get(team) ?? { cores: 0, accelerators: 0 };
-    want.cores += cores * slice.waiting.length;
-    want.accelerators += accelerators * slice.waiting.length;
+    want.cores += cores * tasks;
+    want.accelerators += accelerators * tasks;
     this.wants.set(team, want);
   }
 }
--- a/packages/scheduler/src/coordination/machines/renting.ts
+++ b/packages/scheduler/src/coordination/machines/renting.ts
@@ -23,6 +23,8 @@
 import type { Settings } from '../../settings.ts';
 import type { Clock } from '../../transport/clock.ts';
 import type { Log } from '../../transport/routine.ts';
+import type { Slice } from '../../bookkeeping/slices.ts';
+import type { FailingJobs } from '../jobs/failing-jobs.ts';
 import type { CloudCalls } from './cloud-calls.ts';
 import type { Part } from '../part.ts';
 
@@ -63,6 +65,7 @@
       clock: Clock;
       log: Log;
       cloud: CloudCalls;
+      failing: FailingJobs;
       catalog: () => MachineType[] | null;
       /** This node cannot reach the part's machines. */
       onUnreachable: () => void;
@@ -139,7 +142,7 @@
   private want(now: number): Need {
     const need: Need = { at: now, ordinary: 0, all: 0 };
     for (const slice of this.part.slices.values()) {
-      const tasks = slice.count - slice.settled.size;
+      const tasks = this.toRun(slice);
       need.all += tasks * slice.spec.cores;
       if (!slice.spec.spot) need.ordinary += tasks * slice.spec.cores;
     }
@@ -155,6 +158,12 @@
     };
   }
 
+  /** How many of the slice's tasks machines are wanted for: of one that fails everywhere, the one that is tried. */
+  private toRun(slice: Slice): number {
+    const tasks = slice.count - slice.settled.size;
+    return this.deps.failing.isFailing(slice.spec.id) ? Math.min(1, tasks) : tasks;
+  }
+
   private supply(now: number): Need {
     const supply: Need = { at: now, ordinary: 0, all: 0 };
     const add = (cores: number, spot: boolean): void => {
@@ -260,7 +269,7 @@
       if (able.length === local.length) continue;
       const key = `${able.map((t) => t.name).join('/')} ${String(spec.spot)}`;
       const group = groups.get(key) ?? { spec, cores: 0 };
-      group.cores += (slice.count - slice.settled.size) * spec.cores;
+      group.cores += this.toRun(slice) * spec.cores;
       groups.set(key, group);
     }
     return [...groups.values()];
--- a/packages/scheduler/src/coordination/ownership/membership.ts
+++ b/packages/scheduler/src/coordination/ownership/membership.ts
@@ -38,6 +38,9 @@
   private readonly owners = new Map<string, PartRecord>();
   private readonly ownerlessSince = new Map<string, number>();
   private lease: Int | null = null;
+  /** The node record as last written; null while it is to be written. */
+  private written: { lease: Int; value: NodeRecord; version: Int } | null = null;
+  private writing = false;
   /** Parts that this node cannot reach, and since when. */
   private readonly unreachable = new Map<string, number>();
   /** Parts that their owners cannot reach, and a machine of which has answered this node. */
@@ -50,6 +53,11 @@
   constructor(private readonly context: MembershipContext) {}
 
   onNode(name: string, record: NodeRecord | null): void {
+    if (name === this.context.self.name && record?.incarnation !== this.context.self.incarnation) {
+      // The process before this one had it, or something undid it: nobody takes this node for up until it is told again.
+      this.written = null;
+      void this.putNode();
+    }
     if (!record) return void this.nodes.delete(name);
     const known = this.nodes.get(name);
     const since = known?.incarnation === record.incarnation ? known.since : this.context.clock.now();
@@ -62,8 +70,10 @@
   }
 
   onCaughtUp(): void {
-    if (!this.loaded) this.loadedAt = this.context.clock.now();
+    if (this.loaded) return;
+    this.loadedAt = this.context.clock.now();
     this.loaded = true;
+    void this.putNode();
   }
 
   owner(part: string): PartRecord | null {
@@ -156,31 +166,41 @@
         log.info({}, 'node lease ran out');
         this.lease = null;
       }
-      if (this.lease !== null) return;
-      this.lease = await store.grant(NODE_LEASE_MS);
+      this.lease ??= await store.grant(NODE_LEASE_MS);
       await this.putNode();
     } catch (error) {
       log.debug({ err: String(error) }, 'node lease not extended');
     }
   }
 
+  /**
+   * Writes the node record if it is not as it should be. Each write names the version that it replaces: one of a process
+   * before this one that is carried out late would else undo it.
+   */
   private async putNode(): Promise<void> {
-    const { store, self, log } = this.context;
+    const { store, self, log, replica } = this.context;
     const lease = this.lease;
-    if (lease === null) return;
+    if (lease === null || !this.loaded || this.writing) return;
     const value: NodeRecord = {
       incarnation: self.incarnation,
       unreachable: this.unreached,
       reaches: [...this.found],
     };
+    if (this.written?.lease === lease && JSON.stringify(this.written.value) === JSON.stringify(value)) return;
+    const key = nodeKey(self.name);
+    const condition = { key, version: this.written?.version ?? replica.version(key) };
+    this.writing = true;
+    this.written = null;
     try {
-      const result = await store.txn([], [{ op: 'put', key: nodeKey(self.name), value, lease }], 'ownership');
-      if (result.kind !== 'committed') this.lease = null;
+      const result = await store.txn([condition], [{ op: 'put', key, value, lease }], 'ownership');
+      if (result.kind === 'committed') this.written = { lease, value, version: result.revision };
+      else if (result.kind === 'no_lease') this.lease = null;
+      // Another version: the replica is behind, and shows it soon.
     } catch (error) {
-      // Unknown whether it was written: a new lease writes it again.
-      this.lease = null;
-      log.debug({ err: String(error) }, 'node record not written');
+      log.debug({ err: String(error) }, 'node record not written'); // or perhaps: it is written again
     }
+    this.writing = false;
+    if (this.written) await this.putNode(); // what has changed meanwhile
   }
 
   private alive(record: PartRecord): boolean {
--- a/packages/scheduler/src/coordination/ownership/owned-parts.ts
+++ b/packages/scheduler/src/coordination/ownership/owned-parts.ts
@@ -101,6 +101,7 @@
     const abort = endless();
     const ends = AbortSignal.any([this.context.signal, abort.signal]);
     setMaxListeners(0, ends); // every open call of the part listens
+    this.context.failing.inherit(name);
     const slices = [...this.context.openJobs.jobs.values()].flatMap((job) =>
       this.context.openJobs.given(job, name),
     );
@@ -126,6 +127,7 @@
       clock,
       log,
       cloud: this.context.cloud,
+      failing: this.context.failing,
       catalog: this.context.catalog,
       onUnreachable: () => void this.context.membership.setReach(name, false),
       reachedByNone: () => this.context.membership.reachedByNone(name),
@@ -141,6 +143,8 @@
 
   /** It may be here before the record that makes this node the owner. */
   onHandover(message: Handover): void {
+    // A late copy of an older one must not take the newer one's place.
+    if ((this.handovers.get(message.part)?.token ?? 0) > message.token) return;
     this.handovers.set(message.part, message);
     this.owned.get(message.part)?.part.takeOver(message);
   }
@@ -167,6 +171,7 @@
       wants: Object.fromEntries(part.usage.wants),
       running: part.running(),
       kinds: part.kinds(),
+      failing: this.context.failing.found(),
       coming: owned.renting.coming(now),
       ...summary,
     };
--- a/packages/scheduler/src/coordination/ownership/sibling-calls.ts
+++ b/packages/scheduler/src/coordination/ownership/sibling-calls.ts
@@ -8,7 +8,7 @@
 
 /** Users' requests that siblings carry out for one another. */
 export class SiblingCalls {
-  private readonly asked = new Map<number, (answer: UserAnswer | null) => void>();
+  private readonly asked = new Map<string, (answer: UserAnswer | null) => void>();
   private asks = 0;
 
   constructor(
@@ -16,6 +16,7 @@
       clock: Clock;
       log: Log;
       signal: AbortSignal;
+      incarnation: string;
       sendToSibling: (peer: string, message: MeshMessage) => boolean;
       connectedSiblings: () => string[];
       /** Carries a request out with this node's own contact; null where the state service does not answer. */
@@ -27,7 +28,7 @@
   passOn(op: UserOp, body: JobSpec | string): Promise<UserAnswer | null> {
     const peers = this.context.connectedSiblings();
     if (peers.length === 0) return Promise.resolve(null);
-    const id = ++this.asks;
+    const id = `${this.context.incarnation}/${String(++this.asks)}`;
     return new Promise((resolve) => {
       let open = peers.length;
       const settle = (answer: UserAnswer | null): void => {
--- a/packages/scheduler/src/coordination/ownership/vouching.ts
+++ b/packages/scheduler/src/coordination/ownership/vouching.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../../transport/clock.ts';
 
 interface Round {
-  id: number;
+  id: string;
   /** Siblings that have not answered yet. */
   open: Set<string>;
   /** Jobs that somebody does not vouch for. */
@@ -26,6 +26,7 @@
     private readonly context: {
       clock: Clock;
       signal: AbortSignal;
+      incarnation: string;
       siblings: string[];
       connectedSiblings: () => string[];
       sendToSibling: (peer: string, message: MeshMessage) => boolean;
@@ -66,7 +67,7 @@
   private async ask(jobs: string[]): Promise<Set<string> | null> {
     const { clock, siblings, sendToSibling } = this.context;
     const round: Round = {
-      id: ++this.rounds,
+      id: `${this.context.incarnation}/${String(++this.rounds)}`,
       open: new Set(siblings),
       refused: new Set(),
       ended: new AbortController(),
--- a/packages/scheduler/src/coordination/part-context.ts
+++ b/packages/scheduler/src/coordination/part-context.ts
@@ -5,6 +5,7 @@
 import type { HttpClient } from '../transport/http-client.ts';
 import type { Random } from '../transport/random.ts';
 import type { Log } from '../transport/routine.ts';
+import type { FailingJobs } from './jobs/failing-jobs.ts';
 import type { Limits } from './limits/limits.ts';
 
 /** What a part needs of its controller. */
@@ -19,6 +20,7 @@
   store: Store;
   replica: Replica;
   limits: Limits;
+  failing: FailingJobs;
   typeOf: (name: string) => MachineType | null;
   /** Jobs by the place in which their waits are served. */
   servingOrder: () => Map<string, number>;
--- a/packages/scheduler/src/coordination/part-tasks.ts
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -1,7 +1,9 @@
 import {
   ATTEMPTS_PER_TOKEN,
+  BLAME_TO_DRAIN,
+  FAULT_PAUSE_DOUBLES,
   FAULT_PAUSE_MS,
-  FAULTS_TO_DRAIN,
+  TASK_RETRY_DOUBLES,
   TASK_RETRY_MAX_MS,
   TASK_RETRY_MS,
 } from '../constants.ts';
@@ -51,6 +53,7 @@
       halting: false,
       graceS: 0,
       startedAt: now,
+      runningAt: Infinity,
     });
     if (this.counter === 1) this.part.onFirstStart();
     slice.place(position, key);
@@ -74,6 +77,8 @@
         if (attempt.state === 'fetching' || !machine.images.has(image)) useImage(machine, image, imageGb);
       }
       attempt.state = reported.state;
+      if (reported.state === 'running' && attempt.runningAt === Infinity)
+        attempt.runningAt = this.context.clock.now();
       if (reported.reason !== null) this.end(machine, attempt, reported.reason);
     }
     for (const attempt of [...machine.attempts.values()]) {
@@ -89,6 +94,14 @@
     for (const key of [...machine.ended.keys()]) if (checkin && !listed.has(key)) machine.ended.delete(key);
   }
 
+  /** Of a report made before this owner was accepted only results count: they are true whenever it was made. */
+  onEarlierReport(report: Report): void {
+    for (const { task, reason } of report.tasks) {
+      const found = reason === 'done' ? this.find(task) : null;
+      if (found && !found.slice.settled.has(found.position)) this.settle(found.slice, found.position);
+    }
+  }
+
   /** The machine has gone to its next session: nothing of the last one is on it. */
   newSession(machine: Machine, session: Int): void {
     this.loseAll(machine, machine.session === 0 ? null : 'machine lost its session');
@@ -132,8 +145,9 @@
     const position = found?.position ?? 0;
     const free = slice !== null && !slice.placed.has(position) && !slice.settled.has(position);
     if (reason !== null) {
-      // Its result counts wherever it was reached.
-      if (slice && reason === 'done') this.settle(slice, position);
+      // Its result counts wherever it was reached. One that is known already may not be recorded yet: until then the
+      // machine must keep it all the same, as this owner may end before.
+      if (slice && reason === 'done' && !slice.settled.has(position)) this.settle(slice, position);
       const at = this.context.clock.now();
       machine.ended.set(key, { task, number, reason, slice: reason === 'done' ? slice : null, position, at });
       return null;
@@ -149,6 +163,7 @@
       halting: !free,
       graceS: 0,
       startedAt: this.context.clock.now(),
+      runningAt: Infinity,
     };
     if (free) slice.place(position, key);
     this.attach(machine, attempt);
@@ -159,10 +174,8 @@
     const parsed = parseTaskName(task);
     if (!parsed) return null;
     for (const slice of this.part.slices.values()) {
-      if (slice.spec.id !== parsed.job || !slice.has(parsed.index)) continue;
-      const position = slice.position(parsed.index);
-      // Settled may mean moved to another slice of this same part.
-      if (position !== null) return { slice, position };
+      if (slice.spec.id === parsed.job && slice.has(parsed.index))
+        return { slice, position: slice.position(parsed.index) };
     }
     return null;
   }
@@ -181,33 +194,57 @@
     });
     if (!slice || slice.withdrawn) return;
     if (reason === 'done') {
-      machine.faults = 0;
-      machine.faultJobs.clear();
+      machine.faults.clear();
+      machine.pausedUntil = 0;
       slice.failures = 0;
+      this.context.failing.succeeded(slice.spec.id);
       this.settle(slice, position);
       return;
     }
     if (reason === 'stopped') return slice.unplace(position, key, null);
     slice.failures++;
-    const pause = Math.min(TASK_RETRY_MS * 2 ** Math.min(slice.failures, 10), TASK_RETRY_MAX_MS);
+    const pause = Math.min(
+      TASK_RETRY_MS * 2 ** Math.min(slice.failures, TASK_RETRY_DOUBLES),
+      TASK_RETRY_MAX_MS,
+    );
+    if (reason === 'error') this.fault(machine, attempt, slice.spec.id, now);
     slice.unplace(position, key, now + pause);
-    if (reason === 'error') this.fault(machine, slice.spec.id, now);
     this.context.log.info({ machine: machine.id, task: attempt.task, reason }, 'task failed');
   }
 
   /** A sick machine fails everything: it must not swallow the waiting tasks one by one. */
-  private fault(machine: Machine, job: string, now: number): void {
-    machine.faults++;
-    machine.faultJobs.add(job);
-    machine.pausedUntil = now + FAULT_PAUSE_MS * 2 ** Math.min(machine.faults - 1, 5);
-    // One job that fails everywhere must not take the machines down with it.
-    if (machine.faults >= FAULTS_TO_DRAIN && machine.faultJobs.size >= 2 && !machine.draining) {
-      machine.draining = true;
-      this.context.log.info(
-        { machine: machine.id, faults: machine.faults },
-        'machine drained: tasks of several jobs fail on it',
-      );
+  private fault(machine: Machine, attempt: Attempt, job: string, now: number): void {
+    machine.faults.set(job, { count: (machine.faults.get(job)?.count ?? 0) + 1, at: now });
+    this.context.failing.failed(job, machine.id, Math.max(0, now - attempt.runningAt));
+    this.blame(machine);
+  }
+
+  /**
+   * Pauses the machine, or drains it, for the failures that speak against it. Reckoned anew when a job turns out to fail
+   * everywhere, which clears its machines, or to be sound after all.
+   */
+  blame(machine: Machine): void {
+    const { failing, log } = this.context;
+    const sum = { count: 0, at: 0 };
+    let blame = 0;
+    for (const [job, { count, at }] of machine.faults) {
+      if (failing.isFailing(job)) continue;
+      sum.count += count;
+      sum.at = Math.max(sum.at, at);
+      blame += failing.blame(job, machine.id, count);
     }
+    machine.pausedUntil =
+      sum.count === 0 ? 0 : sum.at + FAULT_PAUSE_MS * 2 ** Math.min(sum.count - 1, FAULT_PAUSE_DOUBLES);
+    const faulty = blame >= BLAME_TO_DRAIN;
+    if (faulty === machine.faulty || machine.returning || (faulty && machine.draining)) return;
+    machine.faulty = faulty;
+    machine.draining = faulty || machine.noticed;
+    log.info(
+      { machine: machine.id, faults: sum.count, blame },
+      faulty
+        ? 'machine drained: tasks of several jobs fail on it'
+        : 'machine cleared: its jobs fail everywhere',
+    );
   }
 
   private settle(slice: Slice, position: number): void {
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -4,9 +4,11 @@
   FENCE_AFTER_MS,
   FENCE_RETRY_MAX_MS,
   FENCE_RETRY_MS,
+  GONE_MOST,
   HANDOVER_BYTES,
   LEASE_MARGIN_MS,
   NO_MACHINES,
+  SILENT_REPORTS,
 } from '../constants.ts';
 import { booked, type Machine, newMachine } from '../bookkeeping/machines.ts';
 import { type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
@@ -36,6 +38,8 @@
   private readonly orders: MachineOrders;
   private readonly suspects: Suspects;
   private toldOfNewer = false;
+  /** Machines that the cloud confirmed gone, the last ones. */
+  private readonly gone = new Set<string>();
 
   constructor(
     readonly name: string,
@@ -187,6 +191,8 @@
     const now = this.context.clock.now();
     let machine = this.machines.get(report.machine);
     if (!machine) {
+      // A late copy: names are never used again, and the machine would be given tasks until it is found silent.
+      if (this.gone.has(report.machine)) return [];
       machine = newMachine(
         report.machine,
         { endpoint: report.endpoint, type: report.type, zone: report.zone, spot: report.spot },
@@ -237,6 +243,12 @@
       this.suspects.clear(machine);
       this.context.log.debug({ part: this.name, machine: machine.id }, 'machine fenced');
     }
+    if (report.token < this.token) {
+      // Of a time before this owner's, perhaps long before: what it lists may have been lost since and be on a machine
+      // not heard yet. So nothing that is held is let go by it; the machine's next report tells.
+      this.tasks.onEarlierReport(report);
+      return true;
+    }
     this.tasks.onReport(machine, report, checkin);
     machine.load = booked(machine, (attempt) => attempt.phase === 'seen');
     machine.drift = booked(machine, (attempt) => attempt.phase !== 'seen');
@@ -244,6 +256,25 @@
     return true;
   }
 
+  /** What is known of the job's failures has changed: so may be which machines are to blame. */
+  onFailingChanged(job: string): void {
+    for (const machine of this.machines.values()) if (machine.faults.has(job)) this.tasks.blame(machine);
+    this.schedulePlacing();
+  }
+
+  /** The longest time, in milliseconds, that a task of the job has run on a machine that is heard. */
+  longestRunMs(job: string): number {
+    const now = this.context.clock.now();
+    let longest = 0;
+    for (const machine of this.machines.values()) {
+      if (now - machine.heardAt > this.context.settings.reportMs * SILENT_REPORTS) continue;
+      for (const { slice, state, runningAt } of machine.attempts.values()) {
+        if (slice?.spec.id === job && state === 'running') longest = Math.max(longest, now - runningAt);
+      }
+    }
+    return longest;
+  }
+
   // --- handing over ---
 
   /** For the next owner: what this one, which has stopped starting anything, knows to run nowhere. */
@@ -310,6 +341,9 @@
   /** The cloud confirmed that the machine and all on it are gone. */
   removed(machine: Machine): void {
     this.machines.delete(machine.id);
+    this.gone.add(machine.id);
+    const [oldest] = this.gone;
+    if (this.gone.size > GONE_MOST && oldest !== undefined) this.gone.delete(oldest);
     this.placing.dropIdle(machine);
     for (const attempt of [...machine.attempts.values()]) this.tasks.lose(machine, attempt);
     this.suspects.clear(machine);
@@ -353,7 +387,9 @@
     const load = open.reduce((sum, machine) => sum + machine.load + machine.drift, 0);
     let waiting = 0;
     for (const slice of this.slices.values()) {
-      waiting += (slice.waiting.length + slice.held.size) * slice.spec.cores;
+      const failing = this.context.failing.isFailing(slice.spec.id);
+      const tasks = slice.waiting.length + slice.held.size;
+      waiting += (failing ? Math.min(1, tasks) : tasks) * slice.spec.cores;
     }
     // Waits count as load, in machines' worth. A part without machines is the last to be given anything.
     const average = cores > 0 ? load / open.length + waiting / cores : NO_MACHINES;
--- a/packages/scheduler/src/coordination/placing/averages.ts
+++ b/packages/scheduler/src/coordination/placing/averages.ts
@@ -12,11 +12,12 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** `own`: from a part of this very node. */
-  set(message: PartMessage, own: boolean): void {
+  /** `own`: from a part of this very node. False if it is out of date. */
+  set(message: PartMessage, own: boolean): boolean {
     // Messages of a former owner that arrive late would undo its successor's.
-    if ((this.parts.get(message.part)?.token ?? 0) > message.token) return;
+    if ((this.parts.get(message.part)?.token ?? 0) > message.token) return false;
     this.parts.set(message.part, { ...message, raised: 0, own, at: this.clock.now() });
+    return true;
   }
 
   get(part: string): PartMessage | null {
--- a/packages/scheduler/src/coordination/placing/job-order.ts
+++ b/packages/scheduler/src/coordination/placing/job-order.ts
@@ -2,6 +2,7 @@
 import type { OpenJobs } from '../../bookkeeping/open-jobs.ts';
 import type { Settings } from '../../settings.ts';
 import type { Clock } from '../../transport/clock.ts';
+import type { FailingJobs } from '../jobs/failing-jobs.ts';
 import type { Averages } from './averages.ts';
 import type { Limits } from '../limits/limits.ts';
 import { type Planned, servingOrder } from './waiting.ts';
@@ -19,6 +20,7 @@
       openJobs: OpenJobs;
       limits: Limits;
       averages: Averages;
+      failing: FailingJobs;
     },
   ) {}
 
@@ -28,7 +30,9 @@
     if (now - this.order.at < ORDER_MS) return this.order.jobs;
     const jobs = [...this.context.openJobs.jobs.values()].map((job): Planned => {
       const { spec, at } = job.record;
-      return { spec, at, left: job.left / spec.tasks, tasks: job.left, guaranteed: false };
+      // One that fails wherever it runs is tried a task at a time: the others do not wait for more of it.
+      const tasks = this.context.failing.isFailing(spec.id) ? Math.min(1, job.left) : job.left;
+      return { spec, at, left: tasks / spec.tasks, tasks, guaranteed: false };
     });
     // A job is guaranteed if it fits into its team's guarantee with the team's earlier unfinished jobs.
     const sums = new Map<string, { cores: number; accelerators: number }>();
--- a/packages/scheduler/src/coordination/placing/moves.ts
+++ b/packages/scheduler/src/coordination/placing/moves.ts
@@ -44,6 +44,8 @@
       catalog: () => MachineType[] | null;
       /** The job's record as the replica has it. */
       record: (job: string) => OpenJobRecord | null;
+      /** Whether the job fails wherever it runs: nothing is gained by moving it. */
+      isFailing: (job: string) => boolean;
       /** The parts that this node owns. */
       owned: () => Part[];
     },
@@ -56,6 +58,7 @@
     const crowded = this.context.owned().flatMap((part) =>
       [...part.slices.values()]
         .filter((slice) => slice.waiting.length > 0 && slice.moving === 0)
+        .filter((slice) => !this.context.isFailing(slice.spec.id))
         .filter((slice) => this.context.clock.now() - slice.crowdedSince >= MOVE_AFTER_MS)
         .map((slice) => ({ part, slice })),
     );
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -180,11 +180,14 @@
     for (const slice of queue) {
       if (round === 'one machine' && !roomy.some(hasRoom)) break;
       const { spec } = slice;
+      // One that fails wherever it runs is tried on, a task at a time.
+      const failing = this.context.failing.isFailing(spec.id);
+      if (failing && !this.context.failing.mayTry(spec.id, now)) continue;
       let chooser: Chooser | null = null;
       let unplaced = 0;
       while (slice.waiting.length > 0) {
         if (!this.part.usage.withinLimit(slice, used)) {
-          if (round !== 'one machine') this.part.usage.noteWant(slice);
+          if (round !== 'one machine') this.part.usage.noteWant(slice, failing ? 1 : slice.waiting.length);
           break;
         }
         if (chooser === null && refusals.cover(spec)) {
@@ -202,16 +205,18 @@
         this.part.start(machine, slice, position, now);
         this.dropIdle(machine);
         touched.add(machine);
+        if (failing) this.context.failing.tried(spec.id, now);
         const sum = used.get(spec.team);
         if (sum) {
           sum.cores += spec.cores;
           sum.accelerators += spec.accelerators;
         }
+        if (failing) break;
       }
       if (slice.waiting.length === 0 || (round !== 'one machine' && unplaced === 0))
         slice.crowdedSince = Infinity;
       else if (round !== 'one machine') slice.crowdedSince = Math.min(slice.crowdedSince, now);
-      if (unplaced > 0 && round === 'preempting') {
+      if (unplaced > 0 && round === 'preempting' && !failing) {
         for (const machine of this.preempt(slice, unplaced, open, claimed, used)) touched.add(machine);
       }
     }
--- a/packages/scheduler/src/protocol/mesh.ts
+++ b/packages/scheduler/src/protocol/mesh.ts
@@ -1,5 +1,11 @@
 import * as z from 'zod/mini';
 
+/**
+ * Names a question to a sibling: with the asking process's incarnation, as an answer to the process before may arrive
+ * when the next one is up, a fraction of a second later.
+ */
+const question = z.string();
+
 /** What siblings say to one another: advice, requests passed on, and what an owner before knows. None carries a right. */
 const message = z.discriminatedUnion('kind', [
   z.object({
@@ -19,6 +25,8 @@
     running: z.record(z.string(), z.number()),
     /** The machines that may take tasks and the idle ones among them, by kind; a sibling of an older version tells none. */
     kinds: z._default(z.record(z.string(), z.object({ open: z.number(), idle: z.number() })), {}),
+    /** Jobs that fail wherever they run, as its owner has found out. */
+    failing: z._default(z.array(z.string()), []),
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
     wants: z.record(z.string(), z.object({ cores: z.number(), accelerators: z.number() })),
   }),
@@ -32,23 +40,23 @@
   }),
   z.object({
     kind: z.literal('vouch'),
-    id: z.number(),
+    id: question,
     /** Of which the sender wants to tell that they are open. */
     jobs: z.array(z.string()),
   }),
   z.object({
     kind: z.literal('vouched'),
-    id: z.number(),
+    id: question,
     /** Those that the sender does not know as open, or of whose end it knows. */
     refused: z.array(z.string()),
   }),
   z.object({
     kind: z.literal('ask'),
-    id: z.number(),
+    id: question,
     op: z.enum(['submit', 'status', 'withdraw']),
     body: z.string(),
   }),
-  z.object({ kind: z.literal('answer'), id: z.number(), status: z.number(), body: z.string() }),
+  z.object({ kind: z.literal('answer'), id: question, status: z.number(), body: z.string() }),
 ]);
 
 export type MeshMessage = z.infer<typeof message>;
--- a/packages/scheduler/test/units.test.ts
+++ b/packages/scheduler/test/units.test.ts
@@ -127,7 +127,13 @@
   const running = (m: Machine, of: JobSpec, number: number, startedAt = 0): Attempt => {
     const slice = new Slice({ name: 's', spec: of, at: 0, from: 0, count: 9, settled: '' }, false);
     const key = `${of.id}#${String(number)}`;
-    const rest = { state: 'running' as const, phase: 'seen' as const, halting: false, graceS: 0 };
+    const rest = {
+      state: 'running' as const,
+      phase: 'seen' as const,
+      halting: false,
+      graceS: 0,
+      runningAt: 0,
+    };
     const attempt = { key, task: of.id, number, slice, position: number, startedAt, ...rest };
     attach(m, attempt);
     return attempt;
@@ -298,6 +304,7 @@
     coming: 0,
     running: {},
     kinds: {},
+    failing: [],
     wants: {},
   });
 
