Ends of jobs known whole at one node are recorded alone; low ones wait for the rest

Change: a job whose tasks all have results at one node is ended without a record of its progress first; ends of low priority, and their progress, take what the rest leaves, in a line of their own, so that none holds another up.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -173,6 +173,8 @@
 export const PROGRESS_SOON_MS = 300;
 /** Bytes of a page of small records: every node reads it again whenever an entry of it changes. */
 export const PAGE_BYTES = 8192;
+/** Priority, 0 the highest, from which work is low: what of it need not be recorded at once waits for what the rest leaves. */
+export const LOW_PRIORITY = 3;
 /** Milliseconds after which any node ends a job all of whose tasks are settled, if its first part's owner has not. */
 export const FINISH_STEP_MS = 2000;
 
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -13,7 +13,12 @@
 } from '../constants.ts';
 import { KnownPages } from '../bookkeeping/known-pages.ts';
 import { OpenJobs } from '../bookkeeping/open-jobs.ts';
-import { type LiveRecord, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
+import {
+  type LiveRecord,
+  type MachinesRecord,
+  type ProgressRecord,
+  sliceName,
+} from '../bookkeeping/records.ts';
 import { Replica, Store } from '../bookkeeping/store.ts';
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
@@ -194,6 +199,7 @@
       lateness: this.lateness,
       catalog,
       servingOrder: () => order.places(),
+      onSliceDone: (job) => this.endIfAllHere(job),
       mayAct: () => this.mayAct(),
       proofMs: this.proofMs,
       machinePages,
@@ -273,7 +279,7 @@
       case 'progress':
         this.progressPages.keep(change.part, change.key, change.record, version);
         this.openJobs.setProgress(change.key, change.record, this.deps.clock.now());
-        if (this.loaded) void this.jobEnds.endAll();
+        if (this.loaded) this.jobEnds.endAll();
         return;
       case 'job': {
         const { id, record } = change;
@@ -286,6 +292,7 @@
         }
         const job = this.openJobs.remove(id);
         this.failing.drop(id);
+        this.jobEnds.drop(id);
         if (!job) return;
         for (const part of this.owned.all()) {
           for (const given of this.openJobs.given(job, part.name)) part.dropSlice(given.name);
@@ -306,6 +313,18 @@
     this.deps.log.info({ jobs: this.openJobs.jobs.size }, 'records read');
   }
 
+  /** Ends the job if this node owns all its slices and has the results of all their tasks. True if so. */
+  private endIfAllHere(id: string): boolean {
+    const job = this.openJobs.jobs.get(id);
+    if (!job) return false;
+    const all = job.record.slices.every(({ part, count }, index) => {
+      const slice = this.owned.get(part)?.part.slices.get(sliceName(part, id, index));
+      return count === 0 || (slice !== undefined && slice.count === count && slice.settled.full);
+    });
+    if (all) this.jobEnds.onAllSettled(id);
+    return all;
+  }
+
   private wakeReports(): void {
     // After this turn: a part that begins now is there by then.
     const { owners } = this;
@@ -395,7 +414,7 @@
   // --- duties ---
 
   private tickParts(): void {
-    if (this.loaded) void this.jobEnds.endAll();
+    if (this.loaded) this.jobEnds.endAll();
     this.failing.tick();
     this.owned.tick();
   }
--- a/packages/scheduler/src/coordination/jobs/job-ends.ts
+++ b/packages/scheduler/src/coordination/jobs/job-ends.ts
@@ -1,13 +1,20 @@
-import { FINISH_STEP_MS, RETRY_MS } from '../../constants.ts';
+import { FINISH_STEP_MS, LOW_PRIORITY, RETRY_MS } from '../../constants.ts';
 import type { OpenJob, OpenJobs } from '../../bookkeeping/open-jobs.ts';
 import { jobKey, type JobRecord, openJobKey } from '../../bookkeeping/records.ts';
 import type { Store } from '../../bookkeeping/store.ts';
 import type { Clock } from '../../transport/clock.ts';
 import type { Log } from '../../transport/routine.ts';
 
+/** Whose turn it is at the state service for ends of jobs of the priority: what is low waits for what the rest leaves. */
+function laneOf(priority: number): 'user' | 'work' {
+  return priority >= LOW_PRIORITY ? 'work' : 'user';
+}
+
 /** Ends jobs whose tasks are all settled. */
 export class JobEnds {
-  private ending = false;
+  private readonly ending = { user: false, work: false };
+  /** Jobs all of whose tasks have had their results on machines of this node's parts; not all of it is recorded. */
+  private readonly known = new Set<string>();
 
   constructor(
     private readonly context: {
@@ -27,24 +34,53 @@
    * Ends the jobs all of whose tasks are settled in the records. What is settled stays so, hence any node may:
    * the owner of the job's first slice does it at once, the others only if that owner does not.
    */
-  async endAll(): Promise<void> {
-    if (this.ending) return;
-    this.ending = true;
+  endAll(): void {
+    void this.endIn('user');
+    void this.endIn('work');
+  }
+
+  /**
+   * All tasks of the job have their results, as its parts' one owner has heard: that is true whatever is recorded of it,
+   * and stays so. So the end itself is all that need be recorded; of a swarm of small jobs that is a change less for each.
+   */
+  onAllSettled(job: string): void {
+    this.known.add(job);
+    this.endAll();
+  }
+
+  /** The job is over. */
+  drop(job: string): void {
+    this.known.delete(job);
+  }
+
+  private *due(): Iterable<OpenJob> {
+    for (const id of this.known) {
+      const job = this.context.openJobs.jobs.get(id);
+      if (job) yield job;
+    }
+    for (const job of this.context.openJobs.complete) {
+      const first = job.record.slices[0]?.part ?? '';
+      const now = this.context.clock.now();
+      if (this.context.owns(first) || now - job.completeSince >= FINISH_STEP_MS) yield job;
+    }
+  }
+
+  private async endIn(lane: 'user' | 'work'): Promise<void> {
+    if (this.ending[lane]) return;
+    this.ending[lane] = true;
     try {
-      for (const job of this.context.openJobs.complete) {
+      for (const job of this.due()) {
         const now = this.context.clock.now();
-        const first = job.record.slices[0]?.part ?? '';
-        if (now < job.nextTryAt) continue;
-        if (!this.context.owns(first) && now - job.completeSince < FINISH_STEP_MS) continue;
+        if (now < job.nextTryAt || laneOf(job.record.spec.priority) !== lane) continue;
         job.nextTryAt = now + FINISH_STEP_MS; // the replica shows it long before, if it is carried out
-        await this.end(job);
+        await this.end(job, lane);
       }
     } finally {
-      this.ending = false;
+      this.ending[lane] = false;
     }
   }
 
-  private async end(job: OpenJob): Promise<void> {
+  private async end(job: OpenJob, lane: 'user' | 'work'): Promise<void> {
     const { id, record, version } = job;
     const { tasks, class: of, estimateS } = record.spec;
     const value: JobRecord = { status: 'done', tasks };
@@ -56,7 +92,7 @@
           { op: 'put', key: jobKey(id), value },
           { op: 'delete', key: openJobKey(id) },
         ],
-        'user',
+        lane,
       );
       if (result.kind === 'committed') this.context.onDone(id);
       const tookS = Math.round((this.context.wallClock() - record.at) / 1000);
--- a/packages/scheduler/src/coordination/part-context.ts
+++ b/packages/scheduler/src/coordination/part-context.ts
@@ -24,6 +24,8 @@
   typeOf: (name: string) => MachineType | null;
   /** Jobs by the place in which their waits are served. */
   servingOrder: () => Map<string, number>;
+  /** A slice of the job has all its results. True if that makes the job's end all that need be recorded. */
+  onSliceDone: (job: string) => boolean;
   /** Whether contact with the state service is fresh enough to act as an owner. */
   mayAct: () => boolean;
   /** Whether this process had too little processor time at some time since then. */
--- a/packages/scheduler/src/coordination/recovery/part-records.ts
+++ b/packages/scheduler/src/coordination/recovery/part-records.ts
@@ -1,4 +1,4 @@
-import { PAGE_BYTES, PROGRESS_MS, PROGRESS_SOON_MS } from '../../constants.ts';
+import { LOW_PRIORITY, PAGE_BYTES, PROGRESS_MS, PROGRESS_SOON_MS } from '../../constants.ts';
 import type { Machine } from '../../bookkeeping/machines.ts';
 import { type Page, Pages } from '../../bookkeeping/pages.ts';
 import {
@@ -37,6 +37,7 @@
   valueKb: number;
   machines: Map<string, Machine>;
   slices: Map<string, Slice>;
+  onSliceDone: (job: string) => boolean;
   /** Machines that may be given tasks now. */
   onMachinesRecorded: () => void;
 }
@@ -103,7 +104,9 @@
 
   /** A task of the slice is settled. */
   noteSettled(slice: Slice): void {
-    this.progressPages.touch(slice.name, entryBytes(slice.name, slice.count), slice.settled.full);
+    const done = slice.settled.full;
+    const urgent = done && !this.context.onSliceDone(slice.spec.id) && slice.spec.priority < LOW_PRIORITY;
+    this.progressPages.touch(slice.name, entryBytes(slice.name, slice.count), urgent);
     this.recordProgress();
   }
 
