Low work at an even pace, held where other work begins to wait; judge of shares served

Change: a node starts 250 short low tasks for each second of processor time it has, none while late; nothing low starts for 4 s, once in 20 s, where other work begins to find no room. The judge's half-served rule is a function of its own with a test.

--- a/packages/emulator/src/served.ts
+++ b/packages/emulator/src/served.ts
@@ -1,3 +1,4 @@
+import { UNSERVED_FEW } from './constants.ts';
 import type { Work } from './workload.ts';
 
 export interface Share {
@@ -34,3 +35,10 @@
   }
   return all;
 }
+
+/** The classes and teams of which less than half was served: any one fails the day. */
+export function unserved({ classes, teams }: Served): string[] {
+  return Object.entries({ ...classes, ...teams })
+    .filter(([, { asked, served: got }]) => asked >= UNSERVED_FEW && got < asked / 2)
+    .map(([of, { asked, served: got }]) => `${of}: ${String(got)} of ${String(asked)} jobs`);
+}
--- a/packages/emulator/test/explorer.test.ts
+++ b/packages/emulator/test/explorer.test.ts
@@ -7,7 +7,7 @@
 import { playDay } from '../src/play.ts';
 import { VirtualTime } from '../src/time.ts';
 import type { Worker } from '../src/worker.ts';
-import { served } from '../src/served.ts';
+import { served, unserved } from '../src/served.ts';
 import { newWork, type Work, type Workload } from '../src/workload.ts';
 
 /** Days of the explorer's small size that the check plays; the long run is in docs/emulator.md. */
@@ -152,6 +152,14 @@
     });
   });
 
+  it('fails a day on which less than half of any one class or team is served, and no other', () => {
+    const share = (asked: number, got: number): { asked: number; served: number } => ({ asked, served: got });
+    const fair = { classes: { short: share(40, 20) }, teams: { red: share(40, 40), few: share(3, 0) } };
+    assert.deepEqual(unserved(fair), [], 'half of a class; a team of too few jobs to tell');
+    const day = { classes: { short: share(40, 19), long: share(90, 90) }, teams: { red: share(30, 0) } };
+    assert.deepEqual(unserved(day), ['short: 19 of 40 jobs', 'red: 0 of 30 jobs']);
+  });
+
   it('plays a day again from its text, and names the field that is bad', async () => {
     const { day, outcome } = await explore('small', daySeed(1, 0));
     const again = await playDay(readDay(JSON.stringify(day)), { stopAtFirst: true });
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -279,6 +279,23 @@
 /** Slices of a job up to which its tasks move: the job's record stays well below a value's limit. */
 export const SLICES_MOST = 48;
 
+// --- low priority ---
+/** Seconds of a task's estimated run up to which it is short: longer ones are not reported often enough to matter. */
+export const SHORT_RUN_S = 20;
+/**
+ * Short tasks of low priority that a node starts, for each second of processor time it has: each is reported twice or more at
+ * about a millisecond, so at this pace they take half of its time. Thousands of a few seconds at once have every machine
+ * report twice a second: the controller hears none of them in time, and their leases end.
+ */
+export const LOW_STARTS_PER_CPU_S = 250;
+/**
+ * Milliseconds for which work of low priority starts nothing in a part when other work begins to find no room there:
+ * thousands of tiny tasks, each ended one followed by the next, else leave no room for a larger task. And from one such
+ * hold to the next at least: in a backlog, in which new work finds no room every second, it would never start again.
+ */
+export const LOW_HOLD_MS = 4000;
+export const LOW_HOLD_GAP_MS = 20_000;
+
 // --- waiting order ---
 /** Milliseconds for which the order of the waits is kept before it is reckoned again. */
 export const ORDER_MS = 300;
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -13,12 +13,7 @@
 } from '../constants.ts';
 import { KnownPages } from '../bookkeeping/known-pages.ts';
 import { OpenJobs } from '../bookkeeping/open-jobs.ts';
-import {
-  type LiveRecord,
-  type MachinesRecord,
-  type ProgressRecord,
-  sliceName,
-} from '../bookkeeping/records.ts';
+import { type LiveRecord, type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
 import { Replica, Store } from '../bookkeeping/store.ts';
 import { cloudClient, type MachineType } from '../protocol/cloud.ts';
 import type { ApiHandlers, ReportAnswer } from '../protocol/http-api.ts';
@@ -199,7 +194,7 @@
       lateness: this.lateness,
       catalog,
       servingOrder: () => order.places(),
-      onSliceDone: (job) => this.endIfAllHere(job),
+      onAllSettled: (job) => this.jobEnds.onAllSettled(job),
       mayAct: () => this.mayAct(),
       proofMs: this.proofMs,
       machinePages,
@@ -313,18 +308,6 @@
     this.deps.log.info({ jobs: this.openJobs.jobs.size }, 'records read');
   }
 
-  /** Ends the job if this node owns all its slices and has the results of all their tasks. True if so. */
-  private endIfAllHere(id: string): boolean {
-    const job = this.openJobs.jobs.get(id);
-    if (!job) return false;
-    const all = job.record.slices.every(({ part, count }, index) => {
-      const slice = this.owned.get(part)?.part.slices.get(sliceName(part, id, index));
-      return count === 0 || (slice !== undefined && slice.count === count && slice.settled.full);
-    });
-    if (all) this.jobEnds.onAllSettled(id);
-    return all;
-  }
-
   private wakeReports(): void {
     // After this turn: a part that begins now is there by then.
     const { owners } = this;
--- a/packages/scheduler/src/coordination/ownership/owned-parts.ts
+++ b/packages/scheduler/src/coordination/ownership/owned-parts.ts
@@ -4,12 +4,13 @@
   FENCES_PER_CPU_S,
   FEW_UNFENCED,
   IN_TIME_MS,
+  LOW_STARTS_PER_CPU_S,
   MESH_BEAT_MS,
   OWNERSHIP_TICK_MS,
 } from '../../constants.ts';
 import type { KnownPages } from '../../bookkeeping/known-pages.ts';
 import type { OpenJobs } from '../../bookkeeping/open-jobs.ts';
-import type { MachinesRecord, ProgressRecord } from '../../bookkeeping/records.ts';
+import { type MachinesRecord, type ProgressRecord, sliceName } from '../../bookkeeping/records.ts';
 import type { MachineType } from '../../protocol/cloud.ts';
 import type { Handover, MeshMessage, PartMessage } from '../../protocol/mesh.ts';
 import type { Lateness } from '../../transport/lateness.ts';
@@ -25,13 +26,14 @@
   part: Part;
   renting: Renting;
   abort: AbortController;
+  lowStarts: { left: number };
   told: { idle: boolean; average: number; at: number };
 }
 
 /** What a part needs, but for what is found out here, and what its owner needs besides. */
 export interface OwnedPartsContext extends Omit<
   PartContext,
-  'typeOf' | 'lateSince' | 'takeFence' | 'onOutdated'
+  'typeOf' | 'lateSince' | 'takeFence' | 'lowStarts' | 'onOutdated' | 'onSliceDone'
 > {
   signal: AbortSignal;
   membership: Membership;
@@ -45,6 +47,8 @@
   machinePages: KnownPages<MachinesRecord>;
   progressPages: KnownPages<ProgressRecord>;
   sendToSibling: (peer: string, message: MeshMessage) => boolean;
+  /** All tasks of the job have their results, and this node has heard of all of them. */
+  onAllSettled: (job: string) => void;
   /** Who owns what may have changed. */
   onOwnersChanged: () => void;
 }
@@ -105,6 +109,7 @@
     const slices = [...this.context.openJobs.jobs.values()].flatMap((job) =>
       this.context.openJobs.given(job, name),
     );
+    const lowStarts = { left: 0 };
     const part = new Part(
       name,
       token,
@@ -113,6 +118,8 @@
         typeOf: (type) => this.context.catalog()?.find((t) => t.name === type) ?? null,
         lateSince: (at) => this.context.lateness.since(at),
         takeFence: () => this.fences-- > 0,
+        lowStarts,
+        onSliceDone: (job) => this.endIfAllHere(job),
         onOutdated: (outdated) => log.info({ part: outdated }, 'a machine knows a newer owner'),
       },
       ends,
@@ -133,7 +140,13 @@
       reachedByNone: () => this.context.membership.reachedByNone(name),
       belongs: (id) => this.context.parts.partOf({ id, zone: this.context.parts.zoneOf(name) }) === name,
     });
-    this.owned.set(name, { part, renting, abort, told: { idle: false, average: -1, at: -Infinity } });
+    this.owned.set(name, {
+      part,
+      renting,
+      abort,
+      lowStarts,
+      told: { idle: false, average: -1, at: -Infinity },
+    });
     log.info({ part: name, token, machines: part.machines.size, slices: slices.length }, 'part owned');
     const handover = this.handovers.get(name);
     if (handover) part.takeOver(handover);
@@ -141,6 +154,18 @@
     this.context.cloud.setShare(this.owned.size / this.context.parts.names.length);
   }
 
+  /** Has the job ended if this node owns all its slices and has the results of all their tasks. True if so. */
+  private endIfAllHere(id: string): boolean {
+    const job = this.context.openJobs.jobs.get(id);
+    if (!job) return false;
+    const all = job.record.slices.every(({ part, count }, index) => {
+      const slice = this.owned.get(part)?.part.slices.get(sliceName(part, id, index));
+      return count === 0 || (slice !== undefined && slice.count === count && slice.settled.full);
+    });
+    if (all) this.context.onAllSettled(id);
+    return all;
+  }
+
   /** It may be here before the record that makes this node the owner. */
   onHandover(message: Handover): void {
     // A late copy of an older one must not take the newer one's place.
@@ -185,7 +210,9 @@
     const inTime = !this.context.lateness.since(this.context.clock.now() - IN_TIME_MS);
     const perTick = (FENCES_PER_CPU_S * this.context.settings.cores * OWNERSHIP_TICK_MS) / 1000;
     this.fences = inTime ? Math.ceil(perTick) : 0;
+    const lowPerTick = (LOW_STARTS_PER_CPU_S * this.context.settings.cores * OWNERSHIP_TICK_MS) / 1000;
     for (const [name, owned] of this.owned) {
+      owned.lowStarts.left = inTime ? Math.ceil(lowPerTick / this.owned.size) : 0;
       owned.part.tick();
       this.tell(name, owned);
     }
--- a/packages/scheduler/src/coordination/part-context.ts
+++ b/packages/scheduler/src/coordination/part-context.ts
@@ -32,6 +32,8 @@
   lateSince: (at: number) => boolean;
   /** Takes one of the calls that this node may make now to machines that have not accepted it yet. */
   takeFence: () => boolean;
+  /** Starts of short tasks of low priority that the part may still make in this tick. */
+  lowStarts: { left: number };
   /** How long after its last proof of contact an owner may still answer reports. */
   proofMs: number;
   /** A machine carries a higher token than this part's: someone else owns it. */
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -1,7 +1,16 @@
-import { PLACE_GAP_MS, PREEMPT_SLACK_MS, SILENT_REPORTS } from '../../constants.ts';
+import {
+  LOW_HOLD_GAP_MS,
+  LOW_HOLD_MS,
+  LOW_PRIORITY,
+  PLACE_GAP_MS,
+  PREEMPT_SLACK_MS,
+  SHORT_RUN_S,
+  SILENT_REPORTS,
+} from '../../constants.ts';
 import { type Machine, machineKind, type Need, room } from '../../bookkeeping/machines.ts';
 import type { Amounts } from '../../bookkeeping/records.ts';
 import type { Slice } from '../../bookkeeping/slices.ts';
+import type { JobSpec } from '../../protocol/users.ts';
 import type { PartContext } from '../part-context.ts';
 import { Chooser, Evictor, Refusals } from './placement.ts';
 import type { TeamUsage } from '../limits/team-usage.ts';
@@ -16,6 +25,8 @@
   /** Whether a round is about to be made. */
   private scheduled = false;
   private placedAt = -Infinity;
+  /** When work of low priority was last held back for other work. */
+  private lowHeldAt = -Infinity;
   /** Work of lower priority is looked for once a tick, and not at every report. */
   private mayPreempt = false;
 
@@ -177,6 +188,7 @@
     const used = this.part.usage.usages();
     const touched = new Set<Machine>();
     const refusals = new Refusals();
+    const holdsLow = now - this.lowHeldAt < LOW_HOLD_MS;
     for (const slice of queue) {
       if (round === 'one machine' && !roomy.some(hasRoom)) break;
       const { spec } = slice;
@@ -190,6 +202,10 @@
           if (round !== 'one machine') this.part.usage.noteWant(slice, failing ? 1 : slice.waiting.length);
           break;
         }
+        // What is low gives way at the controllers too.
+        const low = spec.priority >= LOW_PRIORITY;
+        const paced = low && spec.estimateS <= SHORT_RUN_S;
+        if ((low && holdsLow) || (paced && this.context.lowStarts.left <= 0)) break;
         if (chooser === null && refusals.cover(spec)) {
           unplaced = slice.waiting.length;
           break;
@@ -203,6 +219,7 @@
           break;
         }
         this.part.start(machine, slice, position, now);
+        if (paced) this.context.lowStarts.left--;
         this.dropIdle(machine);
         touched.add(machine);
         if (failing) this.context.failing.tried(spec.id, now);
@@ -215,7 +232,10 @@
       }
       if (slice.waiting.length === 0 || (round !== 'one machine' && unplaced === 0))
         slice.crowdedSince = Infinity;
-      else if (round !== 'one machine') slice.crowdedSince = Math.min(slice.crowdedSince, now);
+      else if (round !== 'one machine') {
+        if (slice.crowdedSince === Infinity && !failing) this.holdLow(spec, now);
+        slice.crowdedSince = Math.min(slice.crowdedSince, now);
+      }
       if (unplaced > 0 && round === 'preempting' && !failing) {
         for (const machine of this.preempt(slice, unplaced, open, claimed, used)) touched.add(machine);
       }
@@ -223,6 +243,11 @@
     return touched;
   }
 
+  /** Work begins to find no room: what is low gives way for a while, and then has its time again. */
+  private holdLow(spec: JobSpec, now: number): void {
+    if (spec.priority < LOW_PRIORITY && now - this.lowHeldAt >= LOW_HOLD_GAP_MS) this.lowHeldAt = now;
+  }
+
   /**
    * Stops work of lower priority where that makes room; the room is taken when its end is reported. Most waits
    * end by themselves in time, so this is done only for a job that would else miss its aim.
