--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -194,6 +194,7 @@
       lateness: this.lateness,
       catalog,
       servingOrder: () => order.places(),
+      onAllSettled: (job) => this.jobEnds.onAllSettled(job),
       mayAct: () => this.mayAct(),
       proofMs: this.proofMs,
       machinePages,
@@ -273,7 +274,7 @@
       case 'progress':
         this.progressPages.keep(change.part, change.key, change.record, version);
         this.openJobs.setProgress(change.key, change.record, this.deps.clock.now());
-        if (this.loaded) void this.jobEnds.endAll();
+        if (this.loaded) this.jobEnds.endAll();
         return;
       case 'job': {
         const { id, record } = change;
@@ -286,6 +287,7 @@
         }
         const job = this.openJobs.remove(id);
         this.failing.drop(id);
+        this.jobEnds.drop(id);
         if (!job) return;
         for (const part of this.owned.all()) {
           for (const given of this.openJobs.given(job, part.name)) part.dropSlice(given.name);
@@ -395,7 +397,7 @@
   // --- duties ---
 
   private tickParts(): void {
-    if (this.loaded) void this.jobEnds.endAll();
+    if (this.loaded) this.jobEnds.endAll();
     this.failing.tick();
     this.owned.tick();
   }
--- a/packages/scheduler/src/coordination/part-context.ts
+++ b/packages/scheduler/src/coordination/part-context.ts
@@ -24,12 +24,16 @@
   typeOf: (name: string) => MachineType | null;
   /** Jobs by the place in which their waits are served. */
   servingOrder: () => Map<string, number>;
+  /** A slice of the job has all its results. True if that makes the job's end all that need be recorded. */
+  onSliceDone: (job: string) => boolean;
   /** Whether contact with the state service is fresh enough to act as an owner. */
   mayAct: () => boolean;
   /** Whether this process had too little processor time at some time since then. */
   lateSince: (at: number) => boolean;
   /** Takes one of the calls that this node may make now to machines that have not accepted it yet. */
   takeFence: () => boolean;
+  /** Starts of short tasks of low priority that the part may still make in this tick. */
+  lowStarts: { left: number };
   /** How long after its last proof of contact an owner may still answer reports. */
   proofMs: number;
   /** A machine carries a higher token than this part's: someone else owns it. */
