--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -283,11 +283,11 @@
 /** Seconds of a task's estimated run up to which it is short: longer ones are not reported often enough to matter. */
 export const SHORT_RUN_S = 20;
 /**
- * Short tasks of low priority that a node starts, for each second of processor time it has: each is reported twice or more at
- * about a millisecond, so at this pace they take half of its time. Thousands of a few seconds at once have every machine
- * report twice a second: the controller hears none of them in time, and their leases end.
+ * Short tasks of low priority that a node starts, for each second of processor time it has: each is reported twice or
+ * more, several to a report of a millisecond, so at this pace they take half of its time. Thousands of a few seconds at
+ * once have every machine report twice a second: the controller hears none of them in time, and their leases end.
  */
-export const LOW_STARTS_PER_CPU_S = 250;
+export const LOW_STARTS_PER_CPU_S = 400;
 /**
  * Milliseconds for which work of low priority starts nothing in a part when other work begins to find no room there:
  * thousands of tiny tasks, each ended one followed by the next, else leave no room for a larger task. And from one such
