A job that has had results is never taken for one that fails everywhere

Cause: read once more: only results that came after a job's first failure were counted, so a job with results that later met three faulty machines could be held back. Change: what its slice has as settled counts, which the records keep through takeovers; the judgement is said once and not twice; a story.

--- a/packages/emulator/test/failing-jobs.test.ts
+++ b/packages/emulator/test/failing-jobs.test.ts
@@ -89,4 +89,19 @@
     assert.deepEqual(world.judge.running('j-10'), []);
     assert.deepEqual(world.judge.violations, []);
   });
+
+  it('is none that has had results, though machines that fail everything are all it meets later', async () => {
+    const lines = new LogLines();
+    const world = dozen({}, lines);
+    await world.begin();
+    world.submit({ id: 'j-1', tasks: 200 }, 6);
+    await world.run(10);
+    const sick = [...world.workers.values()].slice(0, 11);
+    for (const worker of sick) worker.faulty = true;
+    await world.run(20);
+    assert.ok(lines.since(0, 'machine drained: tasks of several jobs fail on it').length >= 3);
+    world.cloud.outage = true; // the last sound machine has to do
+    await world.run(300);
+    world.assertAllDone();
+  });
 });
--- a/packages/scheduler/src/coordination/jobs/failing-jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/failing-jobs.ts
@@ -20,16 +20,8 @@
   sound: boolean;
 }
 
-/** Whether the evidence speaks against the job and not against the machines; `survives`: a task of it runs on. */
-export function speaksAgainstJob(
-  evidence: { machines: { size: number }; sound: boolean },
-  survives: boolean,
-): boolean {
-  return !evidence.sound && evidence.machines.size >= FAILING_MACHINES && !survives;
-}
-
 /** Whether a task that has run for so long has outlived those that failed. */
-export function outlives(ranMs: number, failedAfterMs: number): boolean {
+function outlives(ranMs: number, failedAfterMs: number): boolean {
   return ranMs > failedAfterMs * SURVIVES_FACTOR + SURVIVES_MS;
 }
 
@@ -55,10 +47,11 @@
     },
   ) {}
 
-  /** A task of the job failed on the machine after running so long. */
-  failed(job: string, machine: string, ranMs: number): void {
+  /** A task of the job failed on the machine after running so long; `sound`: others of it have had results. */
+  failed(job: string, machine: string, ranMs: number, sound: boolean): void {
     const known = this.evidence.get(job) ?? { machines: new Set(), ranMs: 0, sound: false };
     this.evidence.set(job, known);
+    known.sound ||= sound;
     // More machines than that tell nothing more.
     if (known.machines.size < FAILING_MACHINES) known.machines.add(machine);
     known.ranMs = Math.max(known.ranMs, ranMs);
@@ -128,8 +121,7 @@
 
   private judge(job: string, known: Evidence): void {
     if (known.sound || known.machines.size < FAILING_MACHINES) return;
-    const survives = outlives(this.context.longestRunMs(job), known.ranMs);
-    const failing = speaksAgainstJob(known, survives);
+    const failing = !outlives(this.context.longestRunMs(job), known.ranMs);
     if (failing === this.judged.has(job)) return;
     if (failing) this.judged.add(job);
     else this.clear(job);
--- a/packages/scheduler/src/coordination/part-tasks.ts
+++ b/packages/scheduler/src/coordination/part-tasks.ts
@@ -207,15 +207,17 @@
       TASK_RETRY_MS * 2 ** Math.min(slice.failures, TASK_RETRY_DOUBLES),
       TASK_RETRY_MAX_MS,
     );
-    if (reason === 'error') this.fault(machine, attempt, slice.spec.id, now);
+    if (reason === 'error') this.fault(machine, attempt, slice, now);
     slice.unplace(position, key, now + pause);
     this.context.log.info({ machine: machine.id, task: attempt.task, reason }, 'task failed');
   }
 
   /** A sick machine fails everything: it must not swallow the waiting tasks one by one. */
-  private fault(machine: Machine, attempt: Attempt, job: string, now: number): void {
+  private fault(machine: Machine, attempt: Attempt, slice: Slice, now: number): void {
+    const job = slice.spec.id;
     machine.faults.set(job, { count: (machine.faults.get(job)?.count ?? 0) + 1, at: now });
-    this.context.failing.failed(job, machine.id, Math.max(0, now - attempt.runningAt));
+    const sound = slice.settled.size > 0;
+    this.context.failing.failed(job, machine.id, Math.max(0, now - attempt.runningAt), sound);
     this.blame(machine);
   }
 
