--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -116,6 +116,11 @@
     const addresses = deployment.nodes.map((_, i) => this.address(i));
     this.balancer = new LoadBalancer(time, fork(), this.network, users, addresses);
     this.users = new Users(time, fork(), this.network, users, this.balancer, this.judge, this.workload);
+    this.judge.onNews = (id): void => this.users.lookClosely(id);
+    // A part has a new owner: what was kept for the next leader comes.
+    this.state.onPut = (key): void => {
+      if (key.startsWith('live/part/')) this.network.deliverKept(addresses);
+    };
     this.network.onCutChange(() => time.after(1, () => this.connectMesh()));
     for (const { type, zone, spot, count } of deployment.initial) {
       const spec = deployment.types.find((t) => t.name === type);
--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -22,6 +22,9 @@
 export const LATE_REPORT_MS = 2000;
 export const LATE_REPORT_LEASES = 2.5;
 
+/** Milliseconds from a new leader's record within which kept copies of reports reach the controllers. */
+export const KEPT_REPORT_MS = 1500;
+
 // --- clocks ---
 /** Ratio. By how much a steady clock may be off (PROTOCOL, first page). */
 export const DRIFT = 0.0005;
@@ -82,6 +85,18 @@
 /** Milliseconds that a user waits for an answer to a submission or a cancellation, and to a poll. */
 export const SUBMIT_DEADLINE_MS = 5000;
 export const POLL_DEADLINE_MS = 2000;
+/** Milliseconds within which users who look closely ask all nodes, and how many times in a row they do. */
+export const CLOSE_LOOK_MS = 15;
+export const CLOSE_LOOKS = 3;
+/** One in so many of those who look closely at an acceptance cancels at once. */
+export const CANCELS_AT_ONCE = 5;
+/** Milliseconds within which many jobs are called off together, and machines that hang with them at the most. */
+export const CANCEL_NOW_MS = 200;
+export const CANCEL_HANGS_MOST = 8;
+/** Seconds that a job's tasks run at least for it to have long to go. */
+export const LONG_TO_GO_S = 20;
+/** Milliseconds between odd requests. */
+export const ODD_REQUEST_MS = 700;
 /** Milliseconds between polls, roughly. */
 export const POLL_MS = 5000;
 /** Milliseconds before a submission is tried again: at least, at most if the service asks for more, and in all. */
@@ -141,5 +156,9 @@
 export const SHRUNK_MOST = 3;
 
 // --- judging ---
+/** Milliseconds, all troubles over, that a job may wait beside room for it with its team under its limit. */
+export const IDLE_WAIT_MS = 90_000;
+/** Milliseconds between looks at who waits beside room. */
+export const IDLE_LOOK_MS = 1000;
 /** CPUs. What sums of amounts may be off by rounding. */
 export const ROUNDING = 1e-6;
--- a/packages/emulator/src/day-file.ts
+++ b/packages/emulator/src/day-file.ts
@@ -35,6 +35,18 @@
   z.object({ ...when, kind: z.literal('late reports'), share }),
   z.object({ ...when, kind: z.literal('deaf'), share, zone: z.nullable(index) }),
   z.object({ ...when, kind: z.literal('held orders'), share }),
+  z.object({ ...when, kind: z.literal('mute'), share, zone: z.nullable(index) }),
+  z.object({ ...when, kind: z.literal('lost answers'), share }),
+  z.object({ ...when, kind: z.literal('kept reports'), share }),
+  z.object({
+    ...when,
+    kind: z.literal('cancel now'),
+    count: z.int().check(z.minimum(1), z.maximum(1000)),
+    hangS: second,
+  }),
+  z.object({ ...when, kind: z.literal('cancel at end'), share }),
+  z.object({ ...when, kind: z.literal('close looks') }),
+  z.object({ ...when, kind: z.literal('odd requests') }),
   z.object({
     ...when,
     kind: z.literal('slow state'),
--- a/packages/emulator/src/day.ts
+++ b/packages/emulator/src/day.ts
@@ -23,6 +23,20 @@
   | { kind: 'late reports'; share: number }
   /** Reports of machines arrive, and what they are told does not: some of all (`zone` null) or those of a zone. */
   | { kind: 'deaf'; share: number; zone: number | null }
+  /** Workers' calls reach no controller, while orders reach the machines: some of all (`zone` null) or those of a zone. */
+  | { kind: 'mute'; share: number; zone: number | null }
+  /** That share of transactions is carried out at once, and only the answer is lost. */
+  | { kind: 'lost answers'; share: number }
+  /** Of that share of reports a copy is kept, and comes to every controller when a part has a new owner. */
+  | { kind: 'kept reports'; share: number }
+  /** So many jobs that run and have long to go are called off within a fifth of a second; some of their machines hang. */
+  | { kind: 'cancel now'; count: number; hangS: number }
+  /** That share of jobs is called off at the moment at which the last task ends. */
+  | { kind: 'cancel at end'; share: number }
+  /** Users ask at all controllers, again and again, right after they were told something new. */
+  | { kind: 'close looks' }
+  /** Users repeat submissions, cancel what is done, and send what is malformed or can never run. */
+  | { kind: 'odd requests' }
   /** Orders and answers to workers are held up, each by itself. */
   | { kind: 'held orders'; share: number }
   /** Answers of the state service take up to so many milliseconds more. */
--- a/packages/emulator/src/draw.ts
+++ b/packages/emulator/src/draw.ts
@@ -100,6 +100,13 @@
     kind(3, 'late reports', { share: fc.constantFrom(0.1, 0.5) }),
     kind(4, 'deaf', { share: fc.constantFrom(0.3, 0.6, 1), zone: fc.option(zone) }),
     kind(2, 'held orders', { share: fc.constantFrom(0.1, 0.4) }),
+    kind(4, 'mute', { share: fc.constantFrom(0.3, 0.6, 1), zone: fc.option(zone) }),
+    kind(4, 'lost answers', { share: fc.constantFrom(0.1, 0.4, 0.8) }),
+    kind(3, 'kept reports', { share: fc.constantFrom(0.1, 0.5) }),
+    kind(4, 'cancel now', { count: int(1, 6), hangS: fc.constantFrom(0, 8, 30, 60) }),
+    kind(2, 'cancel at end', { share: fc.constantFrom(0.3, 1) }),
+    kind(4, 'close looks', {}),
+    kind(2, 'odd requests', {}),
     kind(3, 'slow state', { mostMs: fc.constantFrom(800, 3000, 6000) }),
   ];
   const special: Fault['kind'][] = [
@@ -111,6 +118,13 @@
     'deaf',
     'held orders',
     'slow state',
+    'mute',
+    'lost answers',
+    'kept reports',
+    'cancel now',
+    'cancel at end',
+    'close looks',
+    'odd requests',
   ];
   const wanted = kinds.filter(({ name }) => size.only?.includes(name) ?? !special.includes(name));
   const fault = fc.oneof(
--- a/packages/emulator/src/explore.ts
+++ b/packages/emulator/src/explore.ts
@@ -113,6 +113,7 @@
       .map((s) => s.served / s.asked),
   );
   line(`least of a class or team served on a day: ${Math.min(1, ...shares).toFixed(2)}`);
+  line(`${String(sum((e) => e.outcome.startsAfterCancelled))} starts after a confirmed cancellation`);
   const lost = sum((e) => Object.values(e.outcome.unrecoverable).reduce((n, each) => n + each, 0));
   if (lost > 0) line(`${String(lost)} facts that nobody could know any more`);
   line(`${String(failed.length)} days broke a rule`);
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -1,8 +1,18 @@
 import type { Random } from '@onyxkeel/scheduler';
 import type { Cluster } from './cluster.ts';
-import { BACK_GAP_MS, LATE_REPORT_LEASES, RESTART_MS, ROLLING_MS, START_MS } from './constants.ts';
+import {
+  BACK_GAP_MS,
+  CANCEL_HANGS_MOST,
+  CANCEL_NOW_MS,
+  LONG_TO_GO_S,
+  LATE_REPORT_LEASES,
+  RESTART_MS,
+  ROLLING_MS,
+  START_MS,
+} from './constants.ts';
 import type { CutFrom, Fault } from './day.ts';
 import type { Host } from './network.ts';
+import { OddRequests } from './odd-requests.ts';
 import type { Worker } from './worker.ts';
 
 /** Faults of a day, each begun and ended at its time. What overlaps is counted, so that an end ends its own only. */
@@ -10,11 +20,15 @@
   private readonly ends: (() => void)[] = [];
   private outages = 0;
   private readonly refusals = new Map<number, number>();
+  private readonly odd: OddRequests;
 
   constructor(
     private readonly cluster: Cluster,
     private readonly random: Random,
-  ) {}
+  ) {
+    const { time, users, judge, workload } = cluster;
+    this.odd = new OddRequests({ time, random, users, judge, workload });
+  }
 
   /** Sets a fault up to begin at its time, counted from `fromMs`. */
   plan(fault: Fault, fromMs: number): void {
@@ -98,6 +112,30 @@
         return () => (cluster.network.lateReports = { share: 0, withinMs: 0 });
       case 'deaf':
         return this.deafen(fault.share, fault.zone);
+      case 'mute': {
+        const mute = this.hostsOf(fault.share, fault.zone);
+        return cluster.network.muteCalls((a, b) => mute.has(a) && b.kind === 'node');
+      }
+      case 'lost answers':
+        state.lostAnswers = fault.share;
+        return () => (state.lostAnswers = 0);
+      case 'kept reports':
+        cluster.network.keptShare = fault.share;
+        return () => (cluster.network.keptShare = 0);
+      case 'cancel now':
+        this.cancelNow(fault.count, fault.hangS);
+        return null;
+      case 'cancel at end':
+        cluster.judge.onAllDone = (id): void => {
+          if (this.random.below(1000) < fault.share * 1000) void cluster.users.cancelIfAccepted(id);
+        };
+        return () => (cluster.judge.onAllDone = () => {});
+      case 'close looks':
+        cluster.users.closeLooks = true;
+        return () => (cluster.users.closeLooks = false);
+      case 'odd requests':
+        this.odd.begin(cluster.time.now + fault.forS * 1000);
+        return null;
       case 'held orders':
         cluster.network.heldOrders = fault.share;
         return () => (cluster.network.heldOrders = 0);
@@ -186,14 +224,31 @@
 
   /** The machines' reports arrive; answers and orders to them are lost. */
   private deafen(share: number, zone: number | null): () => void {
-    const deaf = new Set(
-      this.some(share)
-        .filter((w) => zone === null || w.machine.zone === this.zone(zone))
-        .map((w) => w.host),
-    );
+    const deaf = this.hostsOf(share, zone);
     return this.cluster.network.loseOneWay((a, b) => a.kind === 'node' && deaf.has(b));
   }
 
+  /** Some of the machines that are up, of all or of a zone. */
+  private hostsOf(share: number, zone: number | null): Set<Host> {
+    const some = this.some(share).filter((w) => zone === null || w.machine.zone === this.zone(zone));
+    return new Set(some.map((w) => w.host));
+  }
+
+  /** Users call off jobs that run and have long to go, within a fifth of a second; some of their machines hang. */
+  private cancelNow(count: number, hangS: number): void {
+    const { judge, users, workload, workers, time } = this.cluster;
+    const long = [...workload.values()].filter(
+      ({ spec, runS }) => judge.running(spec.id).length > 0 && runS(0) >= LONG_TO_GO_S,
+    );
+    const jobs = long.slice(0, count).map(({ spec }) => spec.id);
+    for (const id of jobs) {
+      time.after(this.random.below(CANCEL_NOW_MS), () => void users.cancelIfAccepted(id));
+    }
+    if (hangS <= 0) return;
+    const theirs = [...workers.values()].filter((w) => w.jobsOn().some((id) => jobs.includes(id)));
+    for (const w of theirs.slice(0, CANCEL_HANGS_MOST)) w.host.clock.frozenUntil = time.now + hangS * 1000;
+  }
+
   private zone(zone: number): string {
     const { zones } = this.cluster.deployment;
     return zones[zone % zones.length] ?? '';
--- a/packages/emulator/src/judge.ts
+++ b/packages/emulator/src/judge.ts
@@ -7,8 +7,10 @@
 
 /**
  * The rules of PROTOCOL "Rules", and besides: `ran_again`, a task that starts though its worker was told to forget its
- * result; `unserved`, less than half of a class or team is served (the operators' newest measure); `stuck`, an accepted job that does not end once faults are over; `over_limit`, calls above an outside
- * service's limits; `crashed`, an error that nobody caught.
+ * result; `unserved`, less than half of a class, a team or a class's largest jobs is served; `stuck`, an accepted job that
+ * does not end once faults are over; `idle_wait`, a job that waits for long beside room for it, all troubles over;
+ * `wrongly_accepted`, a job that can't run or lacks a field and is accepted; `over_limit`, calls above an outside service's
+ * limits; `crashed`, an error that nobody caught.
  */
 export type Rule =
   | 'ran_twice'
@@ -23,6 +25,8 @@
   | 'ran_again'
   | 'stuck'
   | 'unserved'
+  | 'idle_wait'
+  | 'wrongly_accepted'
   | 'over_limit'
   | 'crashed';
 
@@ -33,7 +37,8 @@
   detail: string;
 }
 
-export type Question = 'submit' | 'poll' | 'withdraw';
+/** `look`: a poll put straight to one node, whose failure says nothing about what users in general learn. */
+export type Question = 'submit' | 'poll' | 'withdraw' | 'look';
 
 interface JobHistory {
   /** When its user was first told that it is accepted. */
@@ -68,6 +73,11 @@
   private readonly everStarted = new Set<string>();
   private readonly resultTaken = new Set<string>();
   private readonly polls = { answered: 0, failed: 0 };
+  /** Starts of tasks whose user had been told before that the job is cancelled: counted, and no rule up to `cancel_s`. */
+  startsAfterCancelled = 0;
+  /** Told when a user learns something new of a job, and when a job's last task ends. */
+  onNews: (id: string) => void = () => {};
+  onAllDone: (id: string) => void = () => {};
   /** Since when no trouble goes on; infinite while one does. */
   calmSince = Infinity;
   /** By job, when its first task started. */
@@ -150,6 +160,7 @@
     this.judgePlace(worker, task, work, tasks);
     const final = this.jobs.get(spec.id)?.final;
     const told = final?.state === 'cancelled' && !this.excused.final.has(spec.id);
+    if (told) this.startsAfterCancelled++;
     if (told && this.time.now > final.at + this.limits.cancelMs)
       this.break('ran_cancelled', `${task} starts on ${worker.id}, cancelled at ${String(final.at / 1000)}`);
   }
@@ -177,6 +188,7 @@
     this.note(`end ${task} ${String(attempt)} ${worker.id} ${why}`);
     this.movedAt = this.time.now;
     if (why === 'done') this.completed++;
+    if (why === 'done' && work.results.size === work.spec.tasks) this.onAllDone(work.spec.id);
     this.on.get(task)?.delete(worker);
     if (this.on.get(task)?.size === 0) {
       this.on.delete(task);
@@ -228,6 +240,10 @@
     return this.job(id).final?.state ?? null;
   }
 
+  isCancelAsked(id: string): boolean {
+    return this.job(id).cancelAsked;
+  }
+
   onCancelAsked(id: string): void {
     this.job(id).cancelAsked = true;
   }
@@ -245,7 +261,11 @@
     if (question === 'submit' && status === 422) job.refused = true;
     if ((status !== 200 && status !== 201) || state === null) return;
     if (!work?.submitted) this.break('invented', `${id}: ${question} answered ${String(status)}`);
-    if (job.acceptedAt === Infinity && question !== 'withdraw') job.acceptedAt = this.time.now;
+    const accepted = job.acceptedAt === Infinity && question !== 'withdraw';
+    if (accepted) {
+      job.acceptedAt = this.time.now;
+      this.time.after(0, () => this.onNews(id));
+    }
     if (job.final && askedAt >= job.final.at && state !== job.final.state && !this.excused.final.has(id))
       this.break('went_back', `${id}: was told ${job.final.state}, is told ${state}`);
     if (state === 'cancelled' && !job.cancelAsked) this.break('went_back', `${id}: cancelled by nobody`);
@@ -253,9 +273,25 @@
       this.break('not_done', `${id}: ${String(work.results.size)} of ${String(work.spec.tasks)} tasks done`);
     if (job.final || (state !== 'done' && state !== 'cancelled')) return;
     job.final = { state, at: this.time.now };
+    this.time.after(0, () => this.onNews(id));
     if (state === 'cancelled') this.time.after(this.limits.cancelMs + 1, () => this.judgeCancelled(id));
   }
 
+  /** An answer to a submission that is malformed, or asks for what can never run; `id` where it names a job. */
+  onOddAnswer(what: string, id: string | null, askedAt: number, status: number): void {
+    this.note(`odd ${what} ${id ?? '-'} ${String(status)}`);
+    const acceptedAt = id === null ? Infinity : this.job(id).acceptedAt;
+    if (acceptedAt === Infinity && (status === 200 || status === 201))
+      this.break('wrongly_accepted', `${what}: answered ${String(status)}`);
+    if (askedAt >= acceptedAt && (status === 400 || status === 422 || status === 404))
+      this.break('forgotten', `${String(id)}: ${what}, answered ${String(status)}`);
+  }
+
+  /** CPUs that the team's tasks use now. */
+  usedBy(team: string): number {
+    return this.used.get(team) ?? 0;
+  }
+
   private judgeCancelled(id: string): void {
     if (this.excused.final.has(id)) return;
     for (const task of this.running(id)) {
--- a/packages/emulator/src/network.ts
+++ b/packages/emulator/src/network.ts
@@ -12,6 +12,7 @@
   HELD_UP_MS,
   IDLE_CONNECTION_MS,
   JITTER,
+  KEPT_REPORT_MS,
   LATE_REPORT_MS,
   LOSS,
   REPEAT_LATE_MS,
@@ -72,11 +73,15 @@
   repeatShare = 0;
   /** Share of workers' reports of which a copy comes again, and within how many milliseconds. */
   lateReports = { share: 0, withinMs: 0 };
+  /** Share of workers' reports of which a copy is kept for the next leader, and the copies, one a machine. */
+  keptShare = 0;
+  private readonly kept = new Map<string, Request>();
   /** Share of orders and answers to workers that are held up for seconds, each by itself. */
   heldOrders = 0;
   /** How long an order sent straight to a worker is held up, in milliseconds, for stories of one order. */
   orderHeldMs: (to: Host, body: string) => number = () => 0;
   private readonly lost = new Set<(a: Host, b: Host) => boolean>();
+  private readonly mute = new Set<(a: Host, b: Host) => boolean>();
   /** Calls that reached their host, by its kind. */
   readonly calls = { node: 0, worker: 0, state: 0, cloud: 0, users: 0 };
 
@@ -123,6 +128,21 @@
     return () => void this.lost.delete(between);
   }
 
+  /** Calls that the first host makes to the second hang, while the second reaches the first. Returns what ends it. */
+  muteCalls(between: (a: Host, b: Host) => boolean): () => void {
+    this.mute.add(between);
+    return () => void this.mute.delete(between);
+  }
+
+  /** The kept copies of reports come to all these addresses, at once or within seconds, and are kept no more. */
+  deliverKept(addresses: string[]): void {
+    for (const request of this.kept.values()) {
+      for (const address of addresses)
+        this.time.after(this.random.below(KEPT_REPORT_MS), () => this.again(address, request));
+    }
+    this.kept.clear();
+  }
+
   /** The cut between two hosts, if there is any; of several the one that lets least through. */
   cutBetween(a: Host, b: Host): Cut | null {
     const order: CutMode[] = ['refuse', 'hold', 'reset', 'drop'];
@@ -192,6 +212,7 @@
       call.signal?.addEventListener('abort', onAbort);
       if (!target) return; // no such host: silence
       const { host, serve } = target;
+      for (const mute of this.mute) if (mute(from, host)) return; // the attempt hangs
       const soon = (why: string): void => {
         this.time.after(this.delay(from, host), () => from.clock.whenAwake(() => fail(why)));
       };
@@ -222,6 +243,7 @@
           const late = this.between([LATE_REPORT_MS, this.lateReports.withinMs]);
           this.time.after(late, () => this.again(call.address, request));
         }
+        if (call.path === '/checkin' && this.chance(this.keptShare)) this.kept.set(from.name, request);
         if (host.kind !== 'worker') this.maybeAgain(() => this.again(call.address, request));
         if (reply instanceof Promise) void reply.then((late) => host.clock.whenAwake(() => answer(late)));
         else answer(reply);
--- a/packages/emulator/src/play.ts
+++ b/packages/emulator/src/play.ts
@@ -4,6 +4,7 @@
 import { served, type Served, unserved } from './served.ts';
 import type { Day, JobDraw } from './day.ts';
 import { Faults } from './faults.ts';
+import { IdleWaits } from './idle-waits.ts';
 import type { Violation } from './judge.ts';
 import { newWork } from './workload.ts';
 
@@ -18,6 +19,8 @@
   /** Starts of tasks that had been started before. */
   repeated: number;
   sessionsLost: number;
+  /** Starts after the user was told that the job is cancelled. */
+  startsAfterCancelled: number;
   submissions: { submitted: number; accepted: number; quick: number; refused: number; gaveUp: number };
   /** Milliseconds from submission to being told done, by class. */
   tookMs: Map<string, number[]>;
@@ -141,6 +144,8 @@
   for (const fault of day.faults) lastS = Math.max(lastS, WARM_UP_S + Faults.overS(fault, day.nodes));
   time.at(20_000, () => void users.askUnknown(`j-${String(9_000_000 + (day.seed % 1000))}`));
   const step = 1000;
+  const limits = new Map(deployment.teams.map((team) => [team.name, team.maxCores]));
+  const idleWaits = new IdleWaits(judge, workload, limits);
   const done = (): boolean => options.stopAtFirst === true && judge.violations.length > 0;
   while (time.now < lastS * 1000 && !done()) await time.runUntil(time.now + step);
   faults.clear();
@@ -150,6 +155,7 @@
   while (users.open > 0 && !isQuiet() && time.now < LONGEST_S * 1000 && !done()) {
     // Some were accepted only when their user had given up waiting to cancel them.
     for (const id of endless) if (time.now % 10_000 < step) void users.cancelIfAccepted(id);
+    idleWaits.look(time.now, cluster.workers.values());
     await time.runUntil(time.now + step);
   }
   if (!done()) {
@@ -184,6 +190,7 @@
     completed: judge.completed,
     repeated: judge.repeated,
     sessionsLost: cluster.sessionsLost,
+    startsAfterCancelled: judge.startsAfterCancelled,
     submissions: users.counts,
     tookMs: users.tookMs,
     served: shares,
--- a/packages/emulator/src/protocol/wire.ts
+++ b/packages/emulator/src/protocol/wire.ts
@@ -249,6 +249,55 @@
   });
 }
 
+/** What may be wrong with a submission: a field that is missing, of the wrong type, or asks for what can never run. */
+export const oddFields = [
+  ...[
+    'id',
+    'lot',
+    'ufficio',
+    'genere',
+    'urgenza',
+    'pratiche',
+    'cores',
+    'ram_gb',
+    'stampo',
+    'size_gb',
+    'stima_s',
+  ],
+  ...['accelerators', 'same_place', 'apart', 'prestiti', 'salvataggio_s', 'scrittura_s'],
+  ...[
+    'tasks as text',
+    'no tasks',
+    'cores below 0',
+    'unknown kind',
+    'flag as text',
+    'not an object',
+    'not JSON',
+  ],
+  ...['unknown team', 'too large', 'no such type', 'no such zone'],
+] as const;
+
+/** The job's submission with that wrong; a bare field's name leaves it out. */
+export function oddSubmission(spec: JobSpec, what: (typeof oddFields)[number]): string {
+  const proper = JSON.parse(submissionWords(spec)) as Record<string, unknown>;
+  const wrong: Partial<Record<typeof what, object>> = {
+    'tasks as text': { pratiche: '3' },
+    'no tasks': { pratiche: 0 },
+    'cores below 0': { cores: -1 },
+    'unknown kind': { genere: 'other' },
+    'flag as text': { apart: 'no' },
+    'unknown team': { ufficio: 'nobody' },
+    'too large': { cores: 1e6 },
+    'no such type': { modelli: ['none'] },
+    'no such zone': { sede: 'nowhere' },
+  };
+  if (what === 'not JSON') return submissionWords(spec).slice(1);
+  if (what === 'not an object') return '[1]';
+  const change = wrong[what];
+  if (change) return JSON.stringify({ ...proper, ...change });
+  return JSON.stringify(Object.fromEntries(Object.entries(proper).filter(([name]) => name !== what)));
+}
+
 export type ToldState = 'queued' | 'running' | 'done' | 'cancelled';
 
 /** What a 200 or 201 tells of a job; null where it tells nothing that can be read. */
--- a/packages/emulator/src/state-service.ts
+++ b/packages/emulator/src/state-service.ts
@@ -58,6 +58,10 @@
   lateShare = 0;
   /** Share of transactions that get no answer and are carried out some seconds later, after newer ones. */
   lateWrites = 0;
+  /** Share of transactions that are carried out at once and get no answer. */
+  lostAnswers = 0;
+  /** Told of every key that a transaction puts. */
+  onPut: (key: string) => void = () => {};
   /** Milliseconds more that an answer takes, at most. */
   slowMs = 0;
   /** What becomes of a transaction that writes these keys, for stories of one transaction; null: nothing special. */
@@ -198,7 +202,9 @@
       if (!this.outage) this.apply(txn);
       return undefined;
     }
-    return this.apply(txn);
+    const reply = this.apply(txn);
+    const lost = this.lostAnswers > 0 && this.random.below(1000) < this.lostAnswers * 1000;
+    return lost ? undefined : reply;
   }
 
   private apply(txn: Txn): Reply {
@@ -218,6 +224,7 @@
         const { key, text, lease } = write;
         this.data.set(key, { text, version: this.revision, lease });
         this.note(key, stateWords.put(key, text, this.revision));
+        this.onPut(key);
       }
     }
     this.tellWatches();
--- a/packages/emulator/src/users.ts
+++ b/packages/emulator/src/users.ts
@@ -1,5 +1,8 @@
 import { type HttpCall, NoAnswer, type Random } from '@onyxkeel/scheduler';
 import {
+  CANCELS_AT_ONCE,
+  CLOSE_LOOK_MS,
+  CLOSE_LOOKS,
   CONNECT_DEADLINE_MS,
   POLL_DEADLINE_MS,
   POLL_MS,
@@ -38,6 +41,8 @@
   readonly counts: UserCounts = { submitted: 0, accepted: 0, quick: 0, refused: 0, gaveUp: 0 };
   /** Milliseconds from a job's submission to its user's being told that it is done, by class. */
   readonly tookMs = new Map<string, number[]>();
+  /** Whether they ask at all nodes, again and again, right after they were told something new. */
+  closeLooks = false;
   private readonly followed = new Set<string>();
   private readonly cancelling = new Set<string>();
   /** Routines that still go on. */
@@ -140,25 +145,55 @@
     this.open--;
   }
 
+  /** Something new was told of the job: all nodes are asked within milliseconds, and the submission is repeated. */
+  lookClosely(id: string): void {
+    const work = this.workload.get(id);
+    if (!this.closeLooks || !work) return;
+    for (let round = 0; round < CLOSE_LOOKS; round++) {
+      for (const { address } of this.balancer.nodes) {
+        const after = this.random.below(CLOSE_LOOK_MS * (round + 1));
+        const question = this.random.below(3) === 0 ? 'submit' : 'look';
+        this.time.after(after, () => void this.ask(id, question, work, address));
+      }
+    }
+    if (this.judge.finalState(id) === null && this.random.below(CANCELS_AT_ONCE) === 0)
+      this.time.after(this.random.below(CLOSE_LOOK_MS), () => void this.cancelIfAccepted(id));
+  }
+
+  /** Something that is no proper submission, through the load balancer; its answer, or null. */
+  submitText(body: string): Promise<Reply | null> {
+    return this.exchange({ method: 'POST', path: '/v1/jobs', body, deadlineMs: SUBMIT_DEADLINE_MS });
+  }
+
   private retryMs = RETRY_MS;
 
-  /** Puts one question through the load balancer and tells the judge of the answer. Status 0: none came. */
-  private async ask(id: string, question: Question, work: Work | null): Promise<number> {
+  /** Puts one question, through the load balancer or to one node, and tells the judge of the answer. Status 0: none came. */
+  async ask(id: string, question: Question, work: Work | null, node: string | null = null): Promise<number> {
     const askedAt = this.time.now;
-    const path =
-      question === 'submit' ? '/v1/jobs' : `/v1/jobs/${id}${question === 'poll' ? '' : '/withdraw'}`;
-    const reply = await this.exchange({
-      method: question === 'poll' ? 'GET' : 'POST',
+    const polls = question === 'poll' || question === 'look';
+    const path = question === 'submit' ? '/v1/jobs' : `/v1/jobs/${id}${polls ? '' : '/withdraw'}`;
+    const call: Omit<HttpCall, 'address'> = {
+      method: polls ? 'GET' : 'POST',
       path,
       ...(question === 'submit' && work ? { body: submissionWords(work.spec) } : {}),
-      deadlineMs: question === 'poll' ? POLL_DEADLINE_MS : SUBMIT_DEADLINE_MS,
-    });
+      deadlineMs: polls ? POLL_DEADLINE_MS : SUBMIT_DEADLINE_MS,
+    };
+    const reply = await (node === null ? this.exchange(call) : this.exchangeWith(node, call));
     const status = reply?.status ?? 0;
     this.retryMs = Math.max(RETRY_MS, Math.min(RETRY_AFTER_MOST_MS, (reply?.retryAfterS ?? 0) * 1000));
     this.judge.onAnswer(id, question, askedAt, status, reply ? readTold(reply.body) : null);
     return status;
   }
 
+  private async exchangeWith(address: string, call: Omit<HttpCall, 'address'>): Promise<Reply | null> {
+    try {
+      return await this.network.exchange(this.host, { ...call, address });
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+      return null;
+    }
+  }
+
   /** The load balancer tries three nodes at the most; an accepted connection is not moved. */
   private async exchange(call: Omit<HttpCall, 'address'>): Promise<Reply | null> {
     const tried = new Set<string>();
@@ -173,14 +208,9 @@
         continue;
       }
       node.connections++;
-      try {
-        return await this.network.exchange(this.host, { ...call, address: node.address });
-      } catch (error) {
-        if (!(error instanceof NoAnswer)) throw error;
-        return null;
-      } finally {
-        node.connections--;
-      }
+      const reply = await this.exchangeWith(node.address, call);
+      node.connections--;
+      return reply;
     }
     return null;
   }
--- a/packages/emulator/src/worker.ts
+++ b/packages/emulator/src/worker.ts
@@ -288,6 +288,25 @@
 
   // --- tasks ---
 
+  /** What is left on the machine beside the tasks that are on it, fetching ones too. */
+  left(): { cores: number; ramGb: number } {
+    const { cores, ramGb } = this.machine.type;
+    const left = { cores, ramGb };
+    for (const { state, work } of this.tasks.values()) {
+      if (state === 'ended' || !work) continue;
+      left.cores -= work.spec.cores;
+      left.ramGb -= work.spec.ramGb;
+    }
+    return left;
+  }
+
+  /** The jobs of the tasks that are on the machine, fetching ones too; a job for each task. */
+  jobsOn(): string[] {
+    return [...this.tasks.values()].flatMap(({ state, work }) =>
+      state === 'ended' || !work ? [] : [work.spec.id],
+    );
+  }
+
   private start(task: Task): void {
     const { work } = task;
     if (task.state !== 'fetching' || !work) return;
--- a/packages/scheduler/src/protocol/http-api.ts
+++ b/packages/scheduler/src/protocol/http-api.ts
@@ -2,7 +2,7 @@
 import { RETRY_AFTER_S } from '../constants.ts';
 import type { HttpHandler, HttpReply } from '../transport/http-server.ts';
 import { parseJson, stringifyJson } from './json.ts';
-import { answers, decodeSubmission, isJobId, type JobSpec, type UserAnswer } from './users.ts';
+import { answers, decodeSubmission, isJobId, type JobSpec, namedJob, type UserAnswer } from './users.ts';
 import { decodeReport, encodeRedirect, encodeReportAnswer, type Order, type Report } from './workers.ts';
 
 export type ReportAnswer =
@@ -56,14 +56,21 @@
   const ofJob = (serve: (id: string) => Promise<UserAnswer>): Route => {
     return async (_body, id) => userReply(isJobId(id) ? await serve(id) : answers.notFound);
   };
+  // An accepted job is never answered as if it had not been, whatever is sent under its id.
+  const malformed = async (body: unknown): Promise<UserAnswer> => {
+    const id = namedJob(body);
+    const known = id === null ? answers.notFound : await handlers.status(id);
+    return known.status === 404 ? answers.malformed : known;
+  };
   router.add('GET', '/ready', () => ({ status: handlers.ready() ? 200 : 503, body: '' }));
   router.add('POST', '/checkin', async (body) => {
     const report = decodeReport(readBody(body));
     return report ? workerReply(await handlers.report(report)) : userReply(answers.malformed);
   });
   router.add('POST', '/v1/jobs', async (body) => {
-    const spec = decodeSubmission(readBody(body));
-    return userReply(spec ? await handlers.submit(spec) : answers.malformed);
+    const read = readBody(body);
+    const spec = decodeSubmission(read);
+    return userReply(spec ? await handlers.submit(spec) : await malformed(read));
   });
   router.add(
     'GET',
--- a/packages/scheduler/src/protocol/users.ts
+++ b/packages/scheduler/src/protocol/users.ts
@@ -32,7 +32,6 @@
 
 const text = z.string().check(z.minLength(1), z.maxLength(MAX_TEXT));
 const amount = z.number().check(z.minimum(0), z.maximum(1e9));
-const optionalFlag = z.nullish(z.boolean());
 
 const JOB_ID = /^j-\d{1,18}$/;
 const priorities = ['critical', 'urgent', 'standard', 'low'] as const;
@@ -45,21 +44,24 @@
   urgenza: z.enum(priorities),
   pratiche: z.int().check(z.minimum(1), z.maximum(MAX_TASKS)),
   cores: amount,
-  accelerators: z.nullish(amount),
+  accelerators: amount,
   ram_gb: amount,
   stampo: text,
   size_gb: amount,
+  // Only what may be null may also be left out (PROTOCOL, first page).
   modelli: z.nullish(z.array(text).check(z.maxLength(MAX_TYPES))),
   sede: z.nullish(text),
-  same_place: optionalFlag,
-  apart: optionalFlag,
-  prestiti: optionalFlag,
+  same_place: z.boolean(),
+  apart: z.boolean(),
+  prestiti: z.boolean(),
   stima_s: amount,
-  salvataggio_s: z.nullish(amount),
-  scrittura_s: z.nullish(amount),
+  salvataggio_s: amount,
+  scrittura_s: amount,
   scadenza_s: z.nullish(amount),
 });
 
+const named = z.object({ id: submission.shape.id });
+
 /** The submitted job, or null where the body is malformed. */
 export function decodeSubmission(body: unknown): JobSpec | null {
   const parsed = z.safeParse(submission, body);
@@ -73,22 +75,28 @@
     priority: priorities.indexOf(b.urgenza),
     tasks: b.pratiche,
     cores: b.cores,
-    accelerators: b.accelerators ?? 0,
+    accelerators: b.accelerators,
     ramGb: b.ram_gb,
     image: b.stampo,
     imageGb: b.size_gb,
     types: b.modelli ?? null,
     zone: b.sede ?? null,
-    oneZone: b.same_place ?? false,
-    spread: b.apart ?? false,
-    spot: b.prestiti ?? false,
+    oneZone: b.same_place,
+    spread: b.apart,
+    spot: b.prestiti,
     estimateS: b.stima_s,
-    checkpointS: b.salvataggio_s ?? 0,
-    saveS: b.scrittura_s ?? 0,
+    checkpointS: b.salvataggio_s,
+    saveS: b.scrittura_s,
     deadlineS: b.scadenza_s ?? null,
   };
 }
 
+/** The id that a body names, whatever else is wrong with it; null where it names none. */
+export function namedJob(body: unknown): string | null {
+  const parsed = z.safeParse(named, body);
+  return parsed.success ? parsed.data.id : null;
+}
+
 export function isJobId(id: string): boolean {
   return JOB_ID.test(id);
 }
--- a/packages/scheduler/test/users.test.ts
+++ b/packages/scheduler/test/users.test.ts
@@ -52,6 +52,31 @@
     assert.deepEqual(c.onMachines(), []);
   });
 
+  it('refuses a submission that lacks any field but those that may be null', async () => {
+    const good = job('j-8', 2);
+    const without = (field: string): object =>
+      Object.fromEntries(Object.entries(good).filter(([name]) => name !== field));
+    for (const field of Object.keys(good)) {
+      const nullable = ['modelli', 'sede', 'scadenza_s'].includes(field);
+      if (!nullable) assert.equal((await c.post('a', without(field))).status, 400, field);
+    }
+    assert.equal((await c.poll('a', 'j-8')).status, 404);
+    assert.equal((await c.post('a', { ...good, modelli: undefined, sede: undefined })).status, 201);
+  });
+
+  it('answers what is malformed under an accepted job’s id with the job’s state, and never as if it were unknown', async () => {
+    await c.submit('a', 'j-9', 2);
+    for (const node of ['a', 'b', 'c']) {
+      const { status, body } = await c.post(node, { ...job('j-9', 2), cores: 'x' });
+      assert.deepEqual([status, body['id']], [200, 'j-9'], node);
+      assert.ok(body['stato'] === 'queued' || body['stato'] === 'running', node);
+    }
+    c.state.down = true;
+    assert.equal((await c.post('a', { id: 'j-10' })).status, 503, 'it cannot be told yet');
+    c.state.down = false;
+    assert.equal((await c.post('a', { id: 'j-10' })).status, 400);
+  });
+
   it('takes a job of a hundred thousand tasks in one transaction', async () => {
     assert.equal((await c.submit('a', 'j-6', 100_000)).status, 201);
     const { slices } = c.state.read('live/job/j-6') as { slices: { count: number }[] };
