Waits move beside other tasks, and out of a zone that has lost its machines

Cause: a job whose tasks stand in one zone, or spread over zones, never left its zone, also when the zone had no machine left and the cloud none for it; and tasks moved only to idle machines or away from parts without any, never to a part whose machines had room beside other tasks. Change: owners tell what their roomiest machines have left; waits go there after 20 s. Into another zone a bound job's waits move as far as the committed records prove the rule (design.md, Moves; mostToZone is pure).

--- a/packages/emulator/src/worker.ts
+++ b/packages/emulator/src/worker.ts
@@ -300,6 +300,12 @@
     return left;
   }
 
+  /** Ends tasks with their results, before their time, for stories. */
+  endTask(which: (task: string) => boolean): void {
+    for (const task of this.tasks.values())
+      if (task.state === 'running' && which(task.name)) this.finish(task, 'done');
+  }
+
   /** The jobs of the tasks that are on the machine, fetching ones too; a job for each task. */
   jobsOn(): string[] {
     return [...this.tasks.values()].flatMap(({ state, work }) =>
--- /dev/null
+++ b/packages/emulator/test/idle-wait-stories.ts
@@ -0,0 +1,140 @@
+import { IdleWaits } from '../src/idle-waits.ts';
+import type { Violation } from '../src/judge.ts';
+import { Meeting } from './refused-leader.ts';
+import { expect, type Story } from './story.ts';
+
+const long = 1000;
+
+/** Seconds that a story looks for waits beside room: what a wait may last, and a while more. */
+const LOOK_S = 130;
+
+/** All troubles are over: nobody waits for 90 s beside room. */
+async function calm(world: Meeting, seconds = LOOK_S): Promise<Violation[]> {
+  const limits = new Map(world.deployment.teams.map((team) => [team.name, team.maxCores]));
+  const waits = new IdleWaits(world.judge, world.workload, limits);
+  for (let second = 0; second < seconds; second++) {
+    waits.look(world.time.now, world.workers.values());
+    await world.run(1);
+  }
+  return world.judge.violations;
+}
+
+const machines = (
+  zone: string,
+  count: number,
+): { type: string; zone: string; spot: boolean; count: number } => ({
+  type: 'small',
+  zone,
+  spot: false,
+  count,
+});
+
+const startedOf = (world: Meeting, id: string): number =>
+  world.judge.running(id).length + (world.workload.get(id)?.results.size ?? 0);
+
+/**
+ * A zone of two parts: the machines of one are full of long tasks, those of the other half full, none idle. What waits at
+ * the full one runs beside the others.
+ */
+async function besideOthers(): Promise<Violation[]> {
+  const world = new Meeting({ zones: ['a'], nodes: ['a', 'a'], initial: [machines('a', 8)] });
+  await world.begin();
+  // Every machine has a long task of 5 CPUs, and 3 left.
+  world.submit({ id: 'j-1', tasks: 8, cores: 5 }, long);
+  await world.until('long tasks everywhere', () => world.judge.running('j-1').length === 8, 40);
+  world.submit({ id: 'j-2', tasks: 8, cores: 3 }, long);
+  await world.until('full', () => world.judge.running('j-2').length === 8, 60);
+  // One part's machines have room again, and all of the other's are full.
+  const [part = ''] = world.owned(0);
+  const recorded = world.state
+    .keys(`live/machines/${part}/`)
+    .flatMap((key) => Object.keys((world.state.read(key) as { machines: object }).machines));
+  const there = [...world.workers.values()].filter((w) => recorded.includes(w.id));
+  const gone = there.length;
+  expect('machines in both parts', gone > 0 && gone < 8);
+  const jobs = ['j-3', 'j-4', 'j-5', 'j-6'];
+  for (const id of jobs) world.submit({ id, tasks: 1, cores: 3 }, long);
+  await world.run(5);
+  expect(
+    'all wait',
+    jobs.every((id) => startedOf(world, id) === 0),
+  );
+  // The other part's small tasks end, so that its machines have room, and none is idle.
+  for (const worker of world.workers.values())
+    if (!there.includes(worker)) worker.endTask((task) => task.startsWith('j-2/'));
+  return calm(world);
+}
+
+/** Jobs bound to one zone lose all its machines, and the cloud has none for it: they run where there is room. */
+async function zoneLost(
+  spec: { oneZone?: boolean; spread?: boolean },
+  zones = ['a', 'b', 'c'],
+): Promise<Violation[]> {
+  const initial = zones.map((zone) => machines(zone, 3));
+  const world = new Meeting({ zones, nodes: zones, initial });
+  await world.begin();
+  const ids = Array.from({ length: 6 }, (_, n) => `j-${String(n)}`);
+  for (const id of ids) {
+    world.submit({ id, tasks: 4, cores: 2, ...spec }, 60);
+    await world.run(0.5);
+  }
+  await world.until('running', () => ids.some((id) => world.judge.running(id).length > 0), 30);
+  for (const worker of [...world.workers.values()])
+    if (worker.machine.zone === 'a') world.cloud.die(worker.id);
+  await world.run(40);
+  const broken = await calm(world, 300);
+  // Of two zones the one left may have half of a spread job's tasks.
+  const most = spec.spread && zones.length === 2 ? 2 : 4;
+  for (const id of ids) if (startedOf(world, id) < most) world.judge.break('stuck', id);
+  return broken;
+}
+
+/**
+ * Jobs whose zone has room for a part of them only, with long tasks there, while another zone stands idle: what waits may
+ * not run there as long as the others run where they are.
+ */
+async function boundPartly(spec: { oneZone?: boolean; spread?: boolean }): Promise<Violation[]> {
+  const zones = ['a', 'b'];
+  const world = new Meeting({ zones, nodes: zones, initial: zones.map((zone) => machines(zone, 2)) });
+  await world.begin();
+  const ids = Array.from({ length: 4 }, (_, n) => `j-${String(n)}`);
+  for (const id of ids) world.submit({ id, tasks: 6, cores: 3, ...spec }, 70);
+  const on = (zone: string): number =>
+    [...world.workers.values()]
+      .filter((w) => w.machine.zone === zone)
+      .reduce((n, w) => n + w.jobsOn().length, 0);
+  await world.until('both zones full', () => on('a') === 4 && on('b') === 4, 30);
+  await world.run(20);
+  // Zone b is empty at once, while jobs in zone a have tasks that run and tasks that wait.
+  for (const worker of world.workers.values()) if (worker.machine.zone === 'b') worker.endTask(() => true);
+  expect(
+    'some run and some wait',
+    ids.some((id) => world.judge.running(id).length > 0 && startedOf(world, id) < 6),
+  );
+  return calm(world, 500);
+}
+
+/** Five parts, a team whose limit is a few tasks, in one zone with room for many: its waits take turns. */
+async function limitInFiveParts(): Promise<Violation[]> {
+  const world = new Meeting({
+    zones: ['a'],
+    nodes: ['a', 'a', 'a', 'a', 'a'],
+    initial: [machines('a', 20)],
+    teams: [{ name: 'red', cores: 8, maxCores: 8 }],
+  });
+  await world.begin();
+  for (let n = 0; n < 25; n++) world.submit({ id: `j-${String(n)}`, tasks: 1, cores: 7 }, 6);
+  return calm(world, 400);
+}
+
+export const idleWaitStories: Record<string, Story> = {
+  'a part full of long tasks, beside one with room on machines that are not idle': besideOthers,
+  'jobs in one zone that loses all its machines': () => zoneLost({ oneZone: true }),
+  'jobs spread over zones of which one loses all its machines': () => zoneLost({ spread: true }),
+  'jobs spread over two zones of which one loses all its machines': () =>
+    zoneLost({ spread: true }, ['a', 'b']),
+  'jobs in one zone with room for a part of them, beside an idle zone': () => boundPartly({ oneZone: true }),
+  'jobs spread over two zones, beside an idle one': () => boundPartly({ spread: true }),
+  'arrays in a zone that loses all its machines': () => zoneLost({}),
+  'a team’s limit of one task in five parts': limitInFiveParts,
+};
--- a/packages/emulator/test/meeting-stories.ts
+++ b/packages/emulator/test/meeting-stories.ts
@@ -1,10 +1,9 @@
 import type { Violation } from '../src/judge.ts';
 import type { Fate } from '../src/state-service.ts';
 import { readOrders } from '../src/protocol/wire.ts';
+import { idleWaitStories } from './idle-wait-stories.ts';
 import { Meeting, paces, refusedLeader } from './refused-leader.ts';
-
-/** A story of two troubles that meet; it returns the rules broken. What it must have seen to count, it asserts itself. */
-export type Story = () => Promise<Violation[]>;
+import { expect, type Story } from './story.ts';
 
 const long = 1000;
 const one = { zones: ['a'], nodes: ['a', 'a'] };
@@ -12,10 +11,6 @@
   { type: 'small', zone: 'a', spot: false, count },
 ];
 
-function expect(what: string, holds: boolean): void {
-  if (!holds) throw new Error(`the story has not come about: ${what}`);
-}
-
 const broken = async (plan: Parameters<typeof refusedLeader>[0]): Promise<Violation[]> => {
   const told = await refusedLeader(plan);
   expect('tasks on machines when the users were told', told.onMachines > 0);
@@ -352,5 +347,6 @@
   'tasks that end far apart across changes of leader': farApart,
   'jobs accepted unseen by the leader before an outage': acceptedUnseen,
   'a leader cut from the state service and its siblings': async () => (await cutFromBoth()).broken,
+  ...idleWaitStories,
   'machines deaf to the next owner': async () => (await deafToTheNext()).broken,
 };
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -160,6 +160,27 @@
     put: "if (time === 'again') {",
     shows: { size: 'strangers' },
   },
+  {
+    name: 'a job in one zone moved to another while some of it runs',
+    file: 'coordination/placing/moves.ts',
+    find: 'if (spec.oneZone && movable < sum(() => true)) return 0;',
+    put: '',
+    shows: { story: 'jobs in one zone with room for a part of them, beside an idle zone' },
+  },
+  {
+    name: 'a spread job moved to a zone that has its half',
+    file: 'coordination/placing/moves.ts',
+    find: 'Math.max(0, Math.ceil(spec.tasks / 2) - sum((slice) => zoneOf(slice.part) === zone))',
+    put: 'spec.tasks',
+    shows: { story: 'jobs spread over two zones of which one loses all its machines' },
+  },
+  {
+    name: 'room beside other tasks not told of',
+    file: 'coordination/placing/placing.ts',
+    find: 'kind.left.push({ ...left })',
+    put: 'void left',
+    shows: { story: 'a part full of long tasks, beside one with room on machines that are not idle' },
+  },
   {
     name: 'an incarnation not told apart',
     file: 'coordination/ownership/membership.ts',
--- a/packages/scheduler/src/bookkeeping/open-jobs.ts
+++ b/packages/scheduler/src/bookkeeping/open-jobs.ts
@@ -95,11 +95,15 @@
     });
   }
 
+  /** How many tasks of each of the job's slices are not settled in the records. */
+  leftBySlice(job: OpenJob): number[] {
+    return job.record.slices.map(
+      ({ part, count }, index) => count - (this.settled.get(sliceName(part, job.id, index))?.size ?? 0),
+    );
+  }
+
   private count(job: OpenJob, now: number): void {
-    let left = job.record.spec.tasks;
-    job.record.slices.forEach(({ part }, index) => {
-      left -= this.settled.get(sliceName(part, job.id, index))?.size ?? 0;
-    });
+    const left = this.leftBySlice(job).reduce((sum, each) => sum + each, 0);
     job.left = left;
     if (left > 0 || this.complete.has(job)) return;
     job.completeSince = now;
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -285,8 +285,13 @@
 export const MOVE_MS = 1000;
 /** Milliseconds for which tasks must have found no room before they move to idle machines: most waits end sooner. */
 export const MOVE_AFTER_MS = 2000;
-/** Milliseconds after which tasks leave a part without any machine for them: most boots come up sooner. */
+/**
+ * Milliseconds after which tasks leave a part for one that has no idle machine: because this one has none for them at all,
+ * or that one has room beside other tasks. Most boots come up, and most waits end, sooner.
+ */
 export const MOVE_LONE_MS = 20_000;
+/** Machines of a kind of which a part's owner tells what they have left: a move fills a few, and the next message tells anew. */
+export const ROOMY_TOLD = 8;
 /** Slices of a job up to which its tasks move: the job's record stays well below a value's limit. */
 export const SLICES_MOST = 48;
 
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -238,7 +238,10 @@
       parts: this.parts,
       catalog,
       isFailing: (job) => failing.isFailing(job),
-      record: (job) => openJobs.jobs.get(job)?.record ?? null,
+      known: (job) => {
+        const open = openJobs.jobs.get(job);
+        return open ? { record: open.record, left: openJobs.leftBySlice(open) } : null;
+      },
       owned: () => this.owned.all(),
     });
     this.vouching = new Vouching({
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -12,7 +12,7 @@
 import { type MachinesRecord, type ProgressRecord } from '../bookkeeping/records.ts';
 import { type GivenSlice, Slice } from '../bookkeeping/slices.ts';
 import { type Int } from '../protocol/json.ts';
-import type { Handover } from '../protocol/mesh.ts';
+import type { Handover, KindOfMachines } from '../protocol/mesh.ts';
 import { type Order, type Report } from '../protocol/workers.ts';
 import { MachineOrders } from './machines/machine-orders.ts';
 import type { PartContext } from './part-context.ts';
@@ -369,8 +369,8 @@
     return count;
   }
 
-  /** Its machines that may take tasks, and the idle ones among them, by kind. */
-  kinds(): Record<string, { open: number; idle: number }> {
+  /** Its machines that may take tasks, and the room that they have, by kind. */
+  kinds(): Record<string, KindOfMachines> {
     return this.placing.kinds();
   }
 
--- a/packages/scheduler/src/coordination/placing/moves.ts
+++ b/packages/scheduler/src/coordination/placing/moves.ts
@@ -1,5 +1,5 @@
 import { CONTACT_STALE_MS, MOVE_AFTER_MS, MOVE_LONE_MS, SLICES_MOST } from '../../constants.ts';
-import { fits, machineKind } from '../../bookkeeping/machines.ts';
+import { fits, machineKind, type Need } from '../../bookkeeping/machines.ts';
 import { type OpenJobRecord, openJobKey, sliceName, type SliceRange } from '../../bookkeeping/records.ts';
 import type { Slice } from '../../bookkeeping/slices.ts';
 import type { Replica, Store } from '../../bookkeeping/store.ts';
@@ -15,6 +15,12 @@
 import type { PartMap } from '../ownership/parts.ts';
 import { allows } from './placement.ts';
 
+/** A job's record, and how many tasks of each of its slices are not settled in the records. */
+export interface Known {
+  record: OpenJobRecord;
+  left: number[];
+}
+
 interface Sent {
   part: Part;
   slice: Slice;
@@ -42,8 +48,8 @@
       averages: Averages;
       parts: PartMap;
       catalog: () => MachineType[] | null;
-      /** The job's record as the replica has it. */
-      record: (job: string) => OpenJobRecord | null;
+      /** The job's record as the replica has it, and how many tasks of each slice are not settled in the records. */
+      known: (job: string) => Known | null;
       /** Whether the job fails wherever it runs: nothing is gained by moving it. */
       isFailing: (job: string) => boolean;
       /** The parts that this node owns. */
@@ -69,52 +75,69 @@
     }
   }
 
-  /** A part with idle machines for the tasks; or any with machines for them, if this one has had none for long. */
+  /**
+   * A part with idle machines for the tasks; after a while also one with room for some beside others, or any with machines
+   * for them if this one has none at all.
+   */
   private choose(part: Part, slice: Slice): { part: string; tasks: number } | null {
     const { averages, clock, random } = this.context;
-    const others = this.candidates(part, slice.spec);
+    const others = this.candidates(part);
     const idle = new Map(others.map((o) => [o.part, this.taken(slice.spec, o, 'idle')]));
     const withIdle = others.filter((o) => (idle.get(o.part) ?? 0) > 0).map((o) => o.part);
     if (withIdle.length > 0) {
-      const { movable } = slice;
-      if (movable === 0) return null;
       const to = averages.choose(withIdle, random);
-      return { part: to, tasks: Math.min(movable, idle.get(to) ?? 0) };
+      return this.upTo(part, slice, to, idle.get(to) ?? 0);
+    }
+    if (clock.now() - slice.crowdedSince < MOVE_LONE_MS) return null;
+    const beside = new Map(others.map((o) => [o.part, this.taken(slice.spec, o, 'left')]));
+    const withRoom = others.filter((o) => (beside.get(o.part) ?? 0) > 0).map((o) => o.part);
+    if (withRoom.length > 0) {
+      const to = averages.choose(withRoom, random);
+      return this.upTo(part, slice, to, beside.get(to) ?? 0);
     }
     const own = averages.fresh(part.name)?.message;
     if (!own || this.taken(slice.spec, own, 'open') > 0) return null;
-    if (clock.now() - slice.crowdedSince < MOVE_LONE_MS) return null;
     const able = others.filter((o) => this.taken(slice.spec, o, 'open') > 0).map((o) => o.part);
-    // Looked at last: a backlog has a hundred thousand waits, and mostly nothing that is idle.
-    const { movable } = slice;
-    if (able.length === 0 || movable === 0) return null;
+    if (able.length === 0) return null;
     // By halves: what the next message of that part shows decides about the rest.
-    return { part: averages.choose(able, random), tasks: Math.ceil(movable / 2) };
+    return this.upTo(part, slice, averages.choose(able, random), Math.ceil(slice.movable / 2));
   }
 
-  /** Parts heard since they were last given tasks from here, where the job's rules let the task go. */
-  private candidates(part: Part, spec: JobSpec): PartMessage[] {
+  /** The part with as many tasks as the job's rules let move there, up to so many; null where that is none. */
+  private upTo(part: Part, slice: Slice, to: string, tasks: number): { part: string; tasks: number } | null {
+    // Looked at last: a backlog has a hundred thousand waits, and mostly nothing that is idle.
+    const { movable, spec } = slice;
+    const { parts } = this.context;
+    const [home, there] = [parts.zoneOf(part.name), parts.zoneOf(to)];
+    const known = this.context.known(spec.id);
+    if (movable === 0 || !known) return null;
+    if (home === there) return { part: to, tasks: Math.min(movable, tasks) };
+    const most = mostToZone(known, there, (name) => parts.zoneOf(name), movable);
+    // All of a job in one zone goes together, or none of it does.
+    const count = spec.oneZone ? most : Math.min(movable, tasks, most);
+    return count > 0 ? { part: to, tasks: count } : null;
+  }
+
+  /** Parts heard since they were last given tasks from here. */
+  private candidates(part: Part): PartMessage[] {
     const { averages, parts } = this.context;
-    const home = parts.zoneOf(part.name);
-    // The rule speaks of the zones of the job's other tasks: within the zone it holds as it did.
-    const bound = spec.oneZone || spec.spread;
     return parts.names.flatMap((name) => {
-      if (name === part.name || (bound && parts.zoneOf(name) !== home)) return [];
+      if (name === part.name) return [];
       const fresh = averages.fresh(name);
       return fresh && fresh.at > (this.givenAt.get(name) ?? -Infinity) ? [fresh.message] : [];
     });
   }
 
-  /** How many of the job's tasks the part's machines take that are idle, or that may take any at all. */
-  private taken(spec: JobSpec, message: PartMessage, which: 'idle' | 'open'): number {
+  /** How many of the job's tasks the part's machines take that are idle, that may take any at all, or beside others. */
+  private taken(spec: JobSpec, message: PartMessage, which: 'idle' | 'open' | 'left'): number {
     const zone = this.context.parts.zoneOf(message.part);
     let tasks = 0;
     for (const type of this.context.catalog() ?? []) {
       for (const spot of [false, true]) {
-        const machines = message.kinds[machineKind(type.name, spot)]?.[which] ?? 0;
-        if (machines === 0 || !fits(spec, type) || !allows(spec, { typeName: type.name, zone, spot }))
-          continue;
-        tasks += machines * tasksOn(spec, type);
+        const kind = message.kinds[machineKind(type.name, spot)];
+        if (!kind || !fits(spec, type) || !allows(spec, { typeName: type.name, zone, spot })) continue;
+        if (which === 'left') for (const each of kind.left) tasks += tasksOn(spec, each);
+        else tasks += kind[which] * tasksOn(spec, type);
       }
     }
     return tasks;
@@ -122,7 +145,7 @@
 
   private async move(part: Part, slice: Slice, to: string, tasks: number): Promise<void> {
     const job = slice.spec.id;
-    const record = this.context.record(job);
+    const record = this.context.known(job)?.record;
     const key = openJobKey(job);
     const version = this.context.replica.version(key);
     if (!record || record.slices.length >= SLICES_MOST) return;
@@ -170,8 +193,28 @@
   }
 }
 
-/** How many tasks an empty machine of the type takes. */
-function tasksOn(spec: JobSpec, type: MachineType): number {
+/**
+ * How many of a slice's waiting tasks may go to a zone that they are not in, by the job's rules about the zones of its
+ * tasks. What is settled in the records is on no machine ever again; of all else some may be on one. So a job all in one
+ * zone goes with all that is not settled of it, or not at all; and no zone ever has more than half of a spread one that is
+ * not settled. docs/design.md, "Moves".
+ */
+export function mostToZone(
+  { record: { spec, slices }, left }: Known,
+  zone: string,
+  zoneOf: (part: string) => string,
+  movable: number,
+): number {
+  const sum = (of: (slice: SliceRange) => boolean): number =>
+    slices.reduce((total, slice, index) => total + (of(slice) ? (left[index] ?? slice.count) : 0), 0);
+  if (spec.oneZone && movable < sum(() => true)) return 0;
+  if (!spec.spread) return spec.oneZone ? movable : Infinity;
+  const most = Math.max(0, Math.ceil(spec.tasks / 2) - sum((slice) => zoneOf(slice.part) === zone));
+  return spec.oneZone && movable > most ? 0 : most;
+}
+
+/** How many tasks a machine with so much left takes. */
+function tasksOn(spec: JobSpec, type: Need): number {
   const times = (whole: number, each: number): number =>
     each <= 0 ? Infinity : Math.floor(whole / each + 1e-6);
   return Math.min(
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -4,12 +4,14 @@
   LOW_PRIORITY,
   PLACE_GAP_MS,
   PREEMPT_SLACK_MS,
+  ROOMY_TOLD,
   SHORT_RUN_S,
   SILENT_REPORTS,
 } from '../../constants.ts';
 import { type Machine, machineKind, type Need, room } from '../../bookkeeping/machines.ts';
 import type { Amounts } from '../../bookkeeping/records.ts';
 import type { Slice } from '../../bookkeeping/slices.ts';
+import type { KindOfMachines } from '../../protocol/mesh.ts';
 import type { JobSpec } from '../../protocol/users.ts';
 import type { PartContext } from '../part-context.ts';
 import { Chooser, Evictor, Refusals } from './placement.ts';
@@ -124,14 +126,22 @@
     return [...this.part.machines.values()].filter((m) => this.isOpen(m, now));
   }
 
-  /** The machines that may take tasks now, and the idle ones among them, by kind. */
-  kinds(): Record<string, { open: number; idle: number }> {
-    const kinds: Record<string, { open: number; idle: number }> = {};
+  /** The machines that may take tasks now, the idle ones among them, and what is left on the others, by kind. */
+  kinds(): Record<string, KindOfMachines> {
+    const kinds: Record<string, KindOfMachines> = {};
     const idle = new Set(this.idle);
+    // What is left where tasks wait for room is theirs.
+    const crowded = [...this.part.slices.values()].some((slice) => slice.crowdedSince !== Infinity);
     for (const machine of this.open(this.context.clock.now())) {
-      const count = (kinds[machineKind(machine.typeName, machine.spot)] ??= { open: 0, idle: 0 });
-      count.open++;
-      if (idle.has(machine)) count.idle++;
+      const kind = (kinds[machineKind(machine.typeName, machine.spot)] ??= { open: 0, idle: 0, left: [] });
+      kind.open++;
+      const left = room(machine);
+      if (idle.has(machine)) kind.idle++;
+      else if (!crowded && left && left.cores > 0) kind.left.push({ ...left });
+    }
+    for (const kind of Object.values(kinds)) {
+      kind.left.sort((a, b) => b.cores - a.cores);
+      kind.left.length = Math.min(kind.left.length, ROOMY_TOLD);
     }
     return kinds;
   }
--- a/packages/scheduler/src/protocol/mesh.ts
+++ b/packages/scheduler/src/protocol/mesh.ts
@@ -7,6 +7,13 @@
  */
 const question = z.string();
 
+const kind = z.object({
+  open: z.number(),
+  idle: z.number(),
+  /** What the roomiest machines have left beside their tasks, where nothing of the part waits for room; else nothing. */
+  left: z._default(z.array(z.object({ cores: z.number(), accelerators: z.number(), ramGb: z.number() })), []),
+});
+
 /** What siblings say to one another: advice, requests passed on, and what an owner before knows. None carries a right. */
 const message = z.discriminatedUnion('kind', [
   z.object({
@@ -25,7 +32,7 @@
     /** Tasks on machines, by job, for display. */
     running: z.record(z.string(), z.number()),
     /** The machines that may take tasks and the idle ones among them, by kind; a sibling of an older version tells none. */
-    kinds: z._default(z.record(z.string(), z.object({ open: z.number(), idle: z.number() })), {}),
+    kinds: z._default(z.record(z.string(), kind), {}),
     /** Jobs that fail wherever they run, as its owner has found out. */
     failing: z._default(z.array(z.string()), []),
     /** What the part lacks of each team's limit, in CPUs and accelerators. */
@@ -73,6 +80,8 @@
 
 export type MeshMessage = z.infer<typeof message>;
 export type PartMessage = Extract<MeshMessage, { kind: 'part' }>;
+/** Machines of one kind in a part, as its owner tells of them. */
+export type KindOfMachines = z.infer<typeof kind>;
 export type Handover = Extract<MeshMessage, { kind: 'handover' }>;
 
 /** The message, or null for one this version does not know. */
