Meetings of users' requests, each as a story; a cancellation read back is told to the siblings

Cause: a withdrawal that was carried out without an answer is read back, at whatever node the user repeats it. That node told its user, and nobody else: an owner that had no contact then ran the tasks on until its proof of contact and its leases were over. Change: whoever finds it committed tells the siblings, as whoever commits it does.

--- a/packages/emulator/test/idle-wait-stories.ts
+++ b/packages/emulator/test/idle-wait-stories.ts
@@ -46,9 +46,7 @@
   await world.until('full', () => world.judge.running('j-2').length === 8, 60);
   // One part's machines have room again, and all of the other's are full.
   const [part = ''] = world.owned(0);
-  const recorded = world.state
-    .keys(`live/machines/${part}/`)
-    .flatMap((key) => Object.keys((world.state.read(key) as { machines: object }).machines));
+  const recorded = world.machinesOf(part);
   const there = [...world.workers.values()].filter((w) => recorded.includes(w.id));
   const gone = there.length;
   expect('machines in both parts', gone > 0 && gone < 8);
--- a/packages/emulator/test/meeting-stories.ts
+++ b/packages/emulator/test/meeting-stories.ts
@@ -4,6 +4,7 @@
 import { idleWaitStories } from './idle-wait-stories.ts';
 import { Meeting, paces, refusedLeader } from './refused-leader.ts';
 import { expect, type Story } from './story.ts';
+import { userStories } from './user-stories.ts';
 
 const long = 1000;
 const one = { zones: ['a'], nodes: ['a', 'a'] };
@@ -348,5 +349,6 @@
   'jobs accepted unseen by the leader before an outage': acceptedUnseen,
   'a leader cut from the state service and its siblings': async () => (await cutFromBoth()).broken,
   ...idleWaitStories,
+  ...userStories,
   'machines deaf to the next owner': async () => (await deafToTheNext()).broken,
 };
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -68,6 +68,13 @@
     return reply.status === 200;
   }
 
+  /** The machines that the part's records name. */
+  machinesOf(part: string): string[] {
+    return this.state
+      .keys(`live/machines/${part}/`)
+      .flatMap((key) => Object.keys((this.state.read(key) as { machines: object }).machines));
+  }
+
   ownerOf(part: string): number {
     return Number((this.state.read(`live/part/${part}`) as { owner: string }).owner.split('-')[1]);
   }
--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -58,7 +58,7 @@
   progress: (job: string) => { left: number; running: number };
   /** Whether all nodes vouch for the job as open; asked of all of them from now on. */
   vouched: (job: string) => Promise<boolean>;
-  /** This node has committed the job's withdrawal. */
+  /** This node has committed the job's withdrawal, or found it committed when a user asked for it. */
   onCancelled: (job: string) => void;
   /** Asks a sibling that may reach the state service; null if none answered. */
   passOn: (op: UserOp, body: JobSpec | string) => Promise<UserAnswer | null>;
@@ -277,6 +277,8 @@
     for (let tries = 0; tries < WITHDRAW_TRIES; tries++) {
       const found = await this.read(id);
       if (!found) return answers.notFound;
+      // Cancelled by a transaction that had no answer, mostly: whoever sent it could tell nobody.
+      if (found.status === 'cancelled') this.context.onCancelled(id);
       if (found.status !== 'open') return { status: 200, body: encodeState(id, found.status) };
       const { condition, tasks } = found;
       const end: JobRecord = { status: 'cancelled', tasks };
