Machines that reach no controller are given nothing, and don't count as supply

Cause: a machine's own reports alone renew its lease. One that reaches no controller but answers direct calls counted as heard each time it was asked why it was silent, was given what waited, and killed it with its next lease; nothing was rented instead. Change: only a machine that has reported lately is given tasks; one that has not for a lease, and answers, is no supply. A mutant is caught.

--- a/packages/emulator/test/meeting-stories.ts
+++ b/packages/emulator/test/meeting-stories.ts
@@ -2,6 +2,7 @@
 import type { Fate } from '../src/state-service.ts';
 import { readOrders } from '../src/protocol/wire.ts';
 import { idleWaitStories } from './idle-wait-stories.ts';
+import { machineStories } from './machine-stories.ts';
 import { Meeting, paces, refusedLeader } from './refused-leader.ts';
 import { expect, type Story } from './story.ts';
 import { userStories } from './user-stories.ts';
@@ -349,6 +350,7 @@
   'jobs accepted unseen by the leader before an outage': acceptedUnseen,
   'a leader cut from the state service and its siblings': async () => (await cutFromBoth()).broken,
   ...idleWaitStories,
+  ...machineStories,
   ...userStories,
   'machines deaf to the next owner': async () => (await deafToTheNext()).broken,
 };
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -209,6 +209,13 @@
     put: 'void left',
     shows: { story: 'a part full of long tasks, beside one with room on machines that are not idle' },
   },
+  {
+    name: 'a machine that reports to nobody given tasks',
+    file: 'coordination/placing/placing.ts',
+    find: 'now - m.reportedAt < this.context',
+    put: 'now - m.heardAt < this.context',
+    shows: { story: 'machines that reach no controller' },
+  },
   {
     name: 'an incarnation not told apart',
     file: 'coordination/ownership/membership.ts',
--- a/packages/scheduler/src/bookkeeping/machines.ts
+++ b/packages/scheduler/src/bookkeeping/machines.ts
@@ -57,6 +57,8 @@
   session: Int;
   seq: Int;
   heardAt: number;
+  /** When a report that it sent by itself last came; before the first, when this owner came to know it. */
+  reportedAt: number;
   /** When a report of it was last answered 200, by this owner or at the latest by the one before. */
   answeredAt: number;
   /** Until when an owner before this one may have answered its reports. */
@@ -113,6 +115,7 @@
     session: 0,
     seq: 0,
     heardAt: now,
+    reportedAt: now,
     answeredAt: now,
     beforeAt: now,
     listedAt: null,
--- a/packages/scheduler/src/coordination/machines/renting.ts
+++ b/packages/scheduler/src/coordination/machines/renting.ts
@@ -171,7 +171,7 @@
       if (!spot) supply.ordinary += cores;
     };
     for (const m of this.part.machines.values())
-      if (!m.draining && !m.returning) add(m.type?.cores ?? 0, m.spot);
+      if (!m.draining && !m.returning && !this.isMute(m, now)) add(m.type?.cores ?? 0, m.spot);
     for (const b of this.booting.values()) if (this.isComing(b, now)) add(b.type.cores, b.spot);
     return supply;
   }
@@ -351,6 +351,11 @@
     this.giveBack(machine, why);
   }
 
+  /** Whether it answers calls and has not reported for so long that its lease is over: it is there, and of no use. */
+  private isMute(machine: Machine, now: number): boolean {
+    return !this.isSilent(machine, now) && now - machine.reportedAt > this.deps.settings.leaseMs;
+  }
+
   private isSilent(machine: Machine, now: number): boolean {
     return now - machine.heardAt > this.deps.settings.reportMs * SILENT_REPORTS;
   }
--- a/packages/scheduler/src/coordination/part.ts
+++ b/packages/scheduler/src/coordination/part.ts
@@ -239,6 +239,7 @@
     if (report.session > machine.session) this.tasks.newSession(machine, report.session);
     machine.seq = report.seq;
     machine.heardAt = now;
+    if (checkin) machine.reportedAt = now;
     machine.endpoint = report.endpoint;
     machine.spot = report.spot;
     machine.typeName = report.type;
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -118,7 +118,8 @@
       m.pausedUntil <= now &&
       // One that is heard and hears nothing is always idle, and would swallow the waits.
       m.deafSince === Infinity &&
-      now - m.heardAt < this.context.settings.reportMs * SILENT_REPORTS
+      // Its own reports alone renew its lease: one that only answers calls kills what it is given.
+      now - m.reportedAt < this.context.settings.reportMs * SILENT_REPORTS
     );
   }
 
