--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -205,7 +205,7 @@
   {
     name: 'room beside other tasks not told of',
     file: 'coordination/placing/placing.ts',
-    find: 'kind.left.push({ ...left })',
+    find: '(kind.left ??= []).push({ ...left })',
     put: 'void left',
     shows: { story: 'a part full of long tasks, beside one with room on machines that are not idle' },
   },
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -291,7 +291,7 @@
  */
 export const MOVE_LONE_MS = 20_000;
 /** Machines of a kind of which a part's owner tells what they have left: a move fills a few, and the next message tells anew. */
-export const ROOMY_TOLD = 8;
+export const ROOMY_TOLD = 4;
 /** Slices of a job up to which its tasks move: the job's record stays well below a value's limit. */
 export const SLICES_MOST = 48;
 
--- a/packages/scheduler/src/coordination/placing/moves.ts
+++ b/packages/scheduler/src/coordination/placing/moves.ts
@@ -136,7 +136,7 @@
       for (const spot of [false, true]) {
         const kind = message.kinds[machineKind(type.name, spot)];
         if (!kind || !fits(spec, type) || !allows(spec, { typeName: type.name, zone, spot })) continue;
-        if (which === 'left') for (const each of kind.left) tasks += tasksOn(spec, each);
+        if (which === 'left') for (const each of kind.left ?? []) tasks += tasksOn(spec, each);
         else tasks += kind[which] * tasksOn(spec, type);
       }
     }
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -131,18 +131,23 @@
   kinds(): Record<string, KindOfMachines> {
     const kinds: Record<string, KindOfMachines> = {};
     const idle = new Set(this.idle);
-    // What is left where tasks wait for room is theirs.
-    const crowded = [...this.part.slices.values()].some((slice) => slice.crowdedSince !== Infinity);
-    for (const machine of this.open(this.context.clock.now())) {
-      const kind = (kinds[machineKind(machine.typeName, machine.spot)] ??= { open: 0, idle: 0, left: [] });
+    const open = this.open(this.context.clock.now());
+    for (const machine of open) {
+      const kind = (kinds[machineKind(machine.typeName, machine.spot)] ??= { open: 0, idle: 0 });
       kind.open++;
-      const left = room(machine);
       if (idle.has(machine)) kind.idle++;
-      else if (!crowded && left && left.cores > 0) kind.left.push({ ...left });
     }
-    for (const kind of Object.values(kinds)) {
-      kind.left.sort((a, b) => b.cores - a.cores);
-      kind.left.length = Math.min(kind.left.length, ROOMY_TOLD);
+    // What is left where tasks wait for room is theirs; and an idle machine goes before a used one.
+    const crowded = [...this.part.slices.values()].some((slice) => slice.crowdedSince !== Infinity);
+    if (crowded || Object.values(kinds).every((kind) => kind.idle > 0)) return kinds;
+    for (const machine of open) {
+      const left = room(machine);
+      const kind = kinds[machineKind(machine.typeName, machine.spot)];
+      if (kind?.idle === 0 && left && left.cores > 0) (kind.left ??= []).push({ ...left });
+    }
+    for (const { left } of Object.values(kinds)) {
+      left?.sort((a, b) => b.cores - a.cores);
+      if (left) left.length = Math.min(left.length, ROOMY_TOLD);
     }
     return kinds;
   }
--- a/packages/scheduler/src/protocol/mesh.ts
+++ b/packages/scheduler/src/protocol/mesh.ts
@@ -10,8 +10,11 @@
 const kind = z.object({
   open: z.number(),
   idle: z.number(),
-  /** What the roomiest machines have left beside their tasks, where nothing of the part waits for room; else nothing. */
-  left: z._default(z.array(z.object({ cores: z.number(), accelerators: z.number(), ramGb: z.number() })), []),
+  /**
+   * What the roomiest machines have left beside their tasks; none where one of them is idle, or tasks of the part wait for
+   * room: left out then, as this is told many times a second, and read by all.
+   */
+  left: z.optional(z.array(z.object({ cores: z.number(), accelerators: z.number(), ramGb: z.number() }))),
 });
 
 /** What siblings say to one another: advice, requests passed on, and what an owner before knows. None carries a right. */
