Spread jobs that have one zone only keep half of their tasks off the machines

Cause: at most half of a spread job's tasks may be in one zone. Where it has one zone only (it asks for one, or for all tasks in one place), all were given to that zone's parts, and each part ran what it had: wrong_place. A service of that kind was accepted. Change: one part is given all of it, its owner starts no more than half at a time, and it does not move within the zone; a service of that kind, which must run whole, gets 422.

--- a/packages/emulator/test/idle-wait-stories.ts
+++ b/packages/emulator/test/idle-wait-stories.ts
@@ -112,6 +112,32 @@
   return calm(world, 500);
 }
 
+/** Spread jobs whose only zone is one of two, or that ask for one: half of an array runs at a time, a service never can. */
+async function spreadInOneZone(): Promise<Violation[]> {
+  const zones = ['a', 'b'];
+  const initial = zones.map((zone) => machines(zone, 6));
+  const world = new Meeting({ zones, nodes: ['a', 'b', 'a'], initial });
+  await world.begin();
+  const spread = { spread: true, cores: 2, tasks: 5 };
+  world.submit({ ...spread, id: 'j-1', zone: 'a' }, 12);
+  world.submit({ ...spread, id: 'j-2', oneZone: true }, 12);
+  world.submit({ ...spread, id: 'j-3', zone: 'a', tasks: 1 }, 12);
+  world.submit({ ...spread, id: 'j-4', zone: 'a', kind: 'service' }, long);
+  world.submit({ ...spread, id: 'j-5', oneZone: true, kind: 'service' }, long);
+  world.submit({ ...spread, id: 'j-6', kind: 'service' }, long);
+  await world.run(8);
+  world.end(0);
+  await world.run(6);
+  world.start(0, 50);
+  const broken = await calm(world, 100);
+  for (const id of ['j-1', 'j-2', 'j-3'])
+    if (world.judge.finalState(id) !== 'done') world.judge.break('stuck', id);
+  for (const id of ['j-4', 'j-5'])
+    if (!world.judge.isRefused(id)) world.judge.break('wrongly_accepted', `${id} can never run`);
+  if (startedOf(world, 'j-6') < 5) world.judge.break('stuck', 'j-6');
+  return broken;
+}
+
 /** Five parts, a team whose limit is a few tasks, in one zone with room for many: its waits take turns. */
 async function limitInFiveParts(): Promise<Violation[]> {
   const world = new Meeting({
@@ -133,6 +159,7 @@
     zoneLost({ spread: true }, ['a', 'b']),
   'jobs in one zone with room for a part of them, beside an idle zone': () => boundPartly({ oneZone: true }),
   'jobs spread over two zones, beside an idle one': () => boundPartly({ spread: true }),
+  'spread jobs that have one zone only': spreadInOneZone,
   'arrays in a zone that loses all its machines': () => zoneLost({}),
   'a team’s limit of one task in five parts': limitInFiveParts,
 };
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -191,17 +191,24 @@
   {
     name: 'a job in one zone moved to another while some of it runs',
     file: 'coordination/placing/moves.ts',
-    find: 'if (spec.oneZone && movable < sum(() => true)) return 0;',
+    find: 'if (spec.oneZone && movable < leftIn(known, () => true)) return 0;',
     put: '',
     shows: { story: 'jobs in one zone with room for a part of them, beside an idle zone' },
   },
   {
     name: 'a spread job moved to a zone that has its half',
     file: 'coordination/placing/moves.ts',
-    find: 'Math.max(0, Math.ceil(spec.tasks / 2) - sum((slice) => zoneOf(slice.part) === zone))',
+    find: 'Math.max(0, mostInZone(spec) - leftIn(known, (part) => zoneOf(part) === zone))',
     put: 'spec.tasks',
     shows: { story: 'jobs spread over two zones of which one loses all its machines' },
   },
+  {
+    name: 'all of a spread job started in its only zone',
+    file: 'coordination/placing/placing.ts',
+    find: 'if (spec.spread && this.mayBeOn(spec.id) >= mostInZone(spec)) break;',
+    put: '',
+    shows: { story: 'spread jobs that have one zone only' },
+  },
   {
     name: 'room beside other tasks not told of',
     file: 'coordination/placing/placing.ts',
--- a/packages/scheduler/src/coordination/jobs/jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/jobs.ts
@@ -33,6 +33,7 @@
 import { NoAnswer } from '../../transport/http-client.ts';
 import type { Random } from '../../transport/random.ts';
 import type { Averages } from '../placing/averages.ts';
+import { mostInZone } from '../placing/placement.ts';
 import type { PartMap } from '../ownership/parts.ts';
 
 /** What the state service has of a job: its open record, with its version, or its end. */
@@ -223,6 +224,8 @@
     if (spec.cores * atOnce > team.maxCores || spec.accelerators * atOnce > team.maxAccelerators) {
       return "needs more than the team's limit";
     }
+    if (spec.kind !== 'batch' && spec.tasks > mostInZone(spec) && this.hasOneZone(spec, catalog))
+      return 'more than half of its tasks would be in one zone';
     return null;
   }
 
@@ -234,6 +237,11 @@
     );
   }
 
+  /** Whether all of the job's tasks have to be in one zone. */
+  private hasOneZone(spec: JobSpec, catalog: MachineType[]): boolean {
+    return spec.oneZone || new Set(catalog.flatMap((type) => this.zonesFor(spec, type))).size === 1;
+  }
+
   /**
    * The design's choice for every task, within what the job's zone rules allow. Settling those here, by
    * which tasks a part is given, makes them hold whatever the parts do later.
@@ -242,15 +250,16 @@
     const { averages, parts, random, settings } = this.context;
     const zones = new Set(catalog.flatMap((type) => this.zonesFor(spec, type)));
     let candidates = parts.names.filter((part) => zones.has(parts.zoneOf(part)));
-    const perZone = spec.spread ? Math.ceil(spec.tasks / 2) : spec.tasks;
+    const perZone = mostInZone(spec);
     const capacity = sliceCapacity(settings.valueKb);
-    if (spec.oneZone) candidates = [averages.choose(candidates, random)];
+    // Of a spread job in one zone half may run at once: one part's owner sees to that.
+    const together = spec.oneZone || (spec.spread && this.hasOneZone(spec, catalog));
+    if (together) candidates = [averages.choose(candidates, random)];
     const counts = new Map<string, number>();
     const inZone = new Map<string, number>();
     const group = Math.ceil(spec.tasks / SHARING_GROUPS);
     for (let given = 0; given < spec.tasks;) {
       const open = candidates.filter((part) => (inZone.get(parts.zoneOf(part)) ?? 0) < perZone);
-      // Where a spread job has one zone only, nothing better can be done than to use it up to its half.
       const part = open.length > 0 ? averages.choose(open, random) : candidates[0];
       if (part === undefined) throw new Error('no part to share out to');
       const zone = parts.zoneOf(part);
--- a/packages/scheduler/src/coordination/placing/moves.ts
+++ b/packages/scheduler/src/coordination/placing/moves.ts
@@ -13,7 +13,7 @@
 import type { Averages } from './averages.ts';
 import type { Part } from '../part.ts';
 import type { PartMap } from '../ownership/parts.ts';
-import { allows } from './placement.ts';
+import { allows, mostInZone } from './placement.ts';
 
 /** A job's record, and how many tasks of each of its slices are not settled in the records. */
 export interface Known {
@@ -111,7 +111,11 @@
     const [home, there] = [parts.zoneOf(part.name), parts.zoneOf(to)];
     const known = this.context.known(spec.id);
     if (movable === 0 || !known) return null;
-    if (home === there) return { part: to, tasks: Math.min(movable, tasks) };
+    if (home === there) {
+      // Of a spread job that has more than its half here, one part's owner sees to it that half of it runs.
+      const inZone = leftIn(known, (at) => parts.zoneOf(at) === home);
+      return inZone > mostInZone(spec) ? null : { part: to, tasks: Math.min(movable, tasks) };
+    }
     const most = mostToZone(known, there, (name) => parts.zoneOf(name), movable);
     // All of a job in one zone goes together, or none of it does.
     const count = spec.oneZone ? most : Math.min(movable, tasks, most);
@@ -200,19 +204,26 @@
  * not settled. docs/design.md, "Moves".
  */
 export function mostToZone(
-  { record: { spec, slices }, left }: Known,
+  known: Known,
   zone: string,
   zoneOf: (part: string) => string,
   movable: number,
 ): number {
-  const sum = (of: (slice: SliceRange) => boolean): number =>
-    slices.reduce((total, slice, index) => total + (of(slice) ? (left[index] ?? slice.count) : 0), 0);
-  if (spec.oneZone && movable < sum(() => true)) return 0;
+  const { spec } = known.record;
+  if (spec.oneZone && movable < leftIn(known, () => true)) return 0;
   if (!spec.spread) return spec.oneZone ? movable : Infinity;
-  const most = Math.max(0, Math.ceil(spec.tasks / 2) - sum((slice) => zoneOf(slice.part) === zone));
+  const most = Math.max(0, mostInZone(spec) - leftIn(known, (part) => zoneOf(part) === zone));
   return spec.oneZone && movable > most ? 0 : most;
 }
 
+/** How many of the job's tasks in such parts are not settled in the records. */
+function leftIn({ record: { slices }, left }: Known, isThere: (part: string) => boolean): number {
+  return slices.reduce(
+    (sum, { part, count }, index) => sum + (isThere(part) ? (left[index] ?? count) : 0),
+    0,
+  );
+}
+
 /** How many tasks a machine with so much left takes. */
 function tasksOn(spec: JobSpec, type: Need): number {
   const times = (whole: number, each: number): number =>
--- a/packages/scheduler/src/coordination/placing/placement.ts
+++ b/packages/scheduler/src/coordination/placing/placement.ts
@@ -2,6 +2,11 @@
 import type { JobSpec } from '../../protocol/users.ts';
 import type { Random } from '../../transport/random.ts';
 
+/** How many tasks of a job may be in one zone at a time, by its rule `apart`. */
+export function mostInZone(spec: JobSpec): number {
+  return spec.spread ? Math.ceil(spec.tasks / 2) : spec.tasks;
+}
+
 /** Whether the job allows the machine at all, whatever is on it. */
 export function allows(spec: JobSpec, machine: { typeName: string; zone: string; spot: boolean }): boolean {
   return (
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -14,7 +14,7 @@
 import type { KindOfMachines } from '../../protocol/mesh.ts';
 import type { JobSpec } from '../../protocol/users.ts';
 import type { PartContext } from '../part-context.ts';
-import { Chooser, Evictor, Refusals } from './placement.ts';
+import { Chooser, Evictor, mostInZone, Refusals } from './placement.ts';
 import type { TeamUsage } from '../limits/team-usage.ts';
 import { latestStart } from './waiting.ts';
 
@@ -220,6 +220,8 @@
           if (round !== 'one machine') this.part.usage.noteWant(slice, failing ? 1 : slice.waiting.length);
           break;
         }
+        // Only where all of a spread job has to be in one zone has a part more of it than may run at once.
+        if (spec.spread && this.mayBeOn(spec.id) >= mostInZone(spec)) break;
         // What is low gives way at the controllers too.
         const low = spec.priority >= LOW_PRIORITY;
         const paced = low && spec.estimateS <= SHORT_RUN_S;
@@ -261,6 +263,14 @@
     return touched;
   }
 
+  /** How many of the job's tasks may be on machines of the part. */
+  private mayBeOn(job: string): number {
+    let tasks = 0;
+    for (const { spec, placed, held } of this.part.slices.values())
+      if (spec.id === job) tasks += placed.size + held.size;
+    return tasks;
+  }
+
   /** Work begins to find no room: what is low gives way for a while, and then has its time again. */
   private holdLow(spec: JobSpec, now: number): void {
     if (spec.priority < LOW_PRIORITY && now - this.lowHeldAt >= LOW_HOLD_GAP_MS) this.lowHeldAt = now;
