--- a/packages/emulator/test/idle-wait-stories.ts
+++ b/packages/emulator/test/idle-wait-stories.ts
@@ -68,8 +68,9 @@
   spec: { oneZone?: boolean; spread?: boolean },
   zones = ['a', 'b', 'c'],
 ): Promise<Violation[]> {
-  const initial = zones.map((zone) => machines(zone, 3));
-  const world = new Meeting({ zones, nodes: zones, initial });
+  // Two parts in each zone, so that none of their owners sees all of a job's tasks there.
+  const initial = zones.map((zone) => machines(zone, 6));
+  const world = new Meeting({ zones, nodes: [...zones, ...zones], initial });
   await world.begin();
   const ids = Array.from({ length: 6 }, (_, n) => `j-${String(n)}`);
   for (const id of ids) {
