--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -209,6 +209,13 @@
     put: '',
     shows: { story: 'spread jobs that have one zone only' },
   },
+  {
+    name: 'low work held back for ever',
+    file: 'coordination/placing/placing.ts',
+    find: 'const holdsLow = now - this.lowHeldAt < LOW_HOLD_MS;',
+    put: 'const holdsLow = true;',
+    shows: { story: 'more work than room over slow links' },
+  },
   {
     name: 'turns at a limit that are as long however many parts there are',
     file: 'coordination/limits/limit-shifts.ts',
