--- a/packages/emulator/test/machine-meetings.test.ts
+++ b/packages/emulator/test/machine-meetings.test.ts
@@ -2,9 +2,10 @@
 import { describe, it } from 'node:test';
 import { idleWaitStories } from './idle-wait-stories.ts';
 import { machineStories, muteMachines } from './machine-stories.ts';
+import { reportStories } from './report-stories.ts';
 
 describe('machines and leaders whose troubles meet', () => {
-  for (const [name, story] of Object.entries(machineStories)) {
+  for (const [name, story] of Object.entries({ ...machineStories, ...reportStories })) {
     it(name, async () => assert.deepEqual(await story(), []));
   }
 
--- a/packages/emulator/test/meeting-stories.ts
+++ b/packages/emulator/test/meeting-stories.ts
@@ -4,6 +4,7 @@
 import { idleWaitStories } from './idle-wait-stories.ts';
 import { machineStories } from './machine-stories.ts';
 import { Meeting, paces, refusedLeader } from './refused-leader.ts';
+import { reportStories } from './report-stories.ts';
 import { expect, type Story } from './story.ts';
 import { userStories } from './user-stories.ts';
 
@@ -357,5 +358,6 @@
   ...leaderStories,
   ...idleWaitStories,
   ...machineStories,
+  ...reportStories,
   ...userStories,
 };
--- a/packages/emulator/test/world.ts
+++ b/packages/emulator/test/world.ts
@@ -3,7 +3,8 @@
 import { Cluster, type Deployment, silentLog } from '../src/cluster.ts';
 import { newWork, type Work } from '../src/workload.ts';
 
-const small = {
+/** The type of machine that most stories have. */
+export const smallType = {
   name: 'small',
   cores: 8,
   ramGb: 32,
@@ -13,7 +14,7 @@
   spotPrice: 0.1,
   bootS: 12,
 };
-const large = { ...small, name: 'large', cores: 16, ramGb: 128, price: 0.8, spotPrice: 0.2 };
+const large = { ...smallType, name: 'large', cores: 16, ramGb: 128, price: 0.8, spotPrice: 0.2 };
 
 export const plainJob: JobSpec = {
   id: 'j-1',
@@ -59,7 +60,7 @@
   constructor(more: Partial<Deployment> = {}, log?: (node: string) => Log, seed = 1) {
     const zones = more.zones ?? ['a'];
     const nodes = more.nodes ?? ['a', 'a'];
-    const types = [small, large];
+    const types = [smallType, large];
     super(
       {
         zones,
