--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -170,8 +170,8 @@
   {
     name: 'zone rule forgotten when tasks are shared out',
     file: 'coordination/jobs/jobs.ts',
-    find: 'if (spec.oneZone) candidates',
-    put: 'if (false) candidates',
+    find: 'const together = spec.oneZone || (spec.spread && this.hasOneZone(spec, catalog));',
+    put: 'const together = false;',
     shows: { size: 'storm' },
   },
   {
