Time limit of a test file: 15 minutes, as the mutants take some five

Cause: 38 mutants in one file took 270 s in a checkout's check beside other runs, and over 3 min on a quiet machine: close to the limit of 300 s, which is there to end a hang. The check as a whole is over the four minutes it should keep. Change: the limit alone.

--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -3,8 +3,8 @@
 import { spec } from 'node:test/reporters';
 import { type KnownRed, readKnownRed, type TestEnd, verdict } from './known-red.ts';
 
-/** Milliseconds that a test file may take: several times what the slowest takes on the developers' machine. */
-const FILE_MS = 300_000;
+/** Milliseconds that a test file may take: the mutants take some five minutes where the machine is busy; a hang ends all the same. */
+const FILE_MS = 900_000;
 const LIST = 'KNOWN-RED.txt';
 
 /** Runs the test files named on the command line; passes over the failures that are listed as known, and prints them. */
