Moves draw only among parts that a job's rules allow; a spread job is counted once a round

Change: parts that may be given none are left out before the draw; counted before the round's loop and kept; the two others removed.

--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -158,7 +158,5 @@
 // --- judging ---
 /** Milliseconds, all troubles over, that a job may wait beside room for it with its team under its limit. */
 export const IDLE_WAIT_MS = 90_000;
-/** Milliseconds between looks at who waits beside room. */
-export const IDLE_LOOK_MS = 1000;
 /** CPUs. What sums of amounts may be off by rounding. */
 export const ROUNDING = 1e-6;
--- a/packages/emulator/src/idle-waits.ts
+++ b/packages/emulator/src/idle-waits.ts
@@ -60,7 +60,6 @@
   look(now: number, workers: Iterable<Worker>): void {
     const places: Place[] = [];
     const onMachines = new Map<string, { count: number; zones: Map<string, number> }>();
-    const started = new Map<string, number>();
     for (const worker of workers) {
       const { zone, spot, type } = worker.machine;
       const left = worker.left();
@@ -89,17 +88,17 @@
         teamLeft: most > 0 ? most - this.judge.usedBy(team) : Infinity,
       };
       const place = placeFor(waiter, places);
-      started.set(id, work.results.size + (on?.count ?? 0));
+      const started = work.results.size + (on?.count ?? 0);
       const known = this.since.get(id);
-      const moved = known !== undefined && known.started !== started.get(id);
+      const moved = known !== undefined && known.started !== started;
       if (!place) this.since.delete(id);
-      else if (!known || moved) this.since.set(id, { at: now, started: started.get(id) ?? 0 });
+      else if (!known || moved) this.since.set(id, { at: now, started });
       else if (now - known.at >= IDLE_WAIT_MS) {
         this.judge.break(
           'idle_wait',
           `${id}: ${String(waiter.waiting)} tasks wait beside ${String(place.cores)} CPUs in ${place.zone}`,
         );
-        this.since.set(id, { at: now, started: started.get(id) ?? 0 });
+        this.since.set(id, { at: now, started });
       }
     }
   }
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -205,7 +205,7 @@
   {
     name: 'all of a spread job started in its only zone',
     file: 'coordination/placing/placing.ts',
-    find: 'if (spec.spread && this.mayBeOn(spec.id) >= mostInZone(spec)) break;',
+    find: 'if (mayStart <= 0) break;',
     put: '',
     shows: { story: 'spread jobs that have one zone only' },
   },
--- a/packages/scheduler/src/coordination/placing/moves.ts
+++ b/packages/scheduler/src/coordination/placing/moves.ts
@@ -81,7 +81,7 @@
    */
   private choose(part: Part, slice: Slice): { part: string; tasks: number } | null {
     const { averages, clock, random } = this.context;
-    const others = this.candidates(part);
+    const others = this.candidates(part).filter((o) => this.most(part, slice, o.part) > 0);
     const idle = new Map(others.map((o) => [o.part, this.taken(slice.spec, o, 'idle')]));
     const withIdle = others.filter((o) => (idle.get(o.part) ?? 0) > 0).map((o) => o.part);
     if (withIdle.length > 0) {
@@ -107,19 +107,22 @@
   private upTo(part: Part, slice: Slice, to: string, tasks: number): { part: string; tasks: number } | null {
     // Looked at last: a backlog has a hundred thousand waits, and mostly nothing that is idle.
     const { movable, spec } = slice;
+    if (movable === 0) return null;
+    // All of a job in one zone goes together, or none of it does.
+    const whole = spec.oneZone && this.context.parts.zoneOf(part.name) !== this.context.parts.zoneOf(to);
+    return { part: to, tasks: whole ? movable : Math.min(movable, tasks, this.most(part, slice, to)) };
+  }
+
+  /** How many of the waiting tasks the job's rules about zones let go to the part. */
+  private most(part: Part, { movable, spec }: Slice, to: string): number {
+    if (!spec.oneZone && !spec.spread) return Infinity;
     const { parts } = this.context;
-    const [home, there] = [parts.zoneOf(part.name), parts.zoneOf(to)];
     const known = this.context.known(spec.id);
-    if (movable === 0 || !known) return null;
-    if (home === there) {
-      // Of a spread job that has more than its half here, one part's owner sees to it that half of it runs.
-      const inZone = leftIn(known, (at) => parts.zoneOf(at) === home);
-      return inZone > mostInZone(spec) ? null : { part: to, tasks: Math.min(movable, tasks) };
-    }
-    const most = mostToZone(known, there, (name) => parts.zoneOf(name), movable);
-    // All of a job in one zone goes together, or none of it does.
-    const count = spec.oneZone ? most : Math.min(movable, tasks, most);
-    return count > 0 ? { part: to, tasks: count } : null;
+    if (!known) return 0;
+    const [home, there] = [parts.zoneOf(part.name), parts.zoneOf(to)];
+    if (home !== there) return mostToZone(known, there, (name) => parts.zoneOf(name), movable);
+    // Of a spread job that has more than its half here, one part's owner sees to it that half of it runs.
+    return leftIn(known, (at) => parts.zoneOf(at) === home) > mostInZone(spec) ? 0 : Infinity;
   }
 
   /** Parts heard since they were last given tasks from here. */
--- a/packages/scheduler/src/coordination/placing/placing.ts
+++ b/packages/scheduler/src/coordination/placing/placing.ts
@@ -215,13 +215,14 @@
       if (failing && !this.context.failing.mayTry(spec.id, now)) continue;
       let chooser: Chooser | null = null;
       let unplaced = 0;
+      let mayStart = spec.spread ? mostInZone(spec) - this.mayBeOn(spec.id) : Infinity;
       while (slice.waiting.length > 0) {
         if (!this.part.usage.withinLimit(slice, used)) {
           if (round !== 'one machine') this.part.usage.noteWant(slice, failing ? 1 : slice.waiting.length);
           break;
         }
         // Only where all of a spread job has to be in one zone has a part more of it than may run at once.
-        if (spec.spread && this.mayBeOn(spec.id) >= mostInZone(spec)) break;
+        if (mayStart <= 0) break;
         // What is low gives way at the controllers too.
         const low = spec.priority >= LOW_PRIORITY;
         const paced = low && spec.estimateS <= SHORT_RUN_S;
@@ -239,6 +240,7 @@
           break;
         }
         this.part.start(machine, slice, position, now);
+        mayStart--;
         if (paced) this.context.lowStarts.left--;
         this.dropIdle(machine);
         touched.add(machine);
