Answer polls in an outage for a job whose end nobody has reported

Fix: the read shows what the protocol asks for, that no node has reported the end. Each node states a revision that the job's end is later than, and a revision up to which its node may have reported ends that the process does not remember. docs/design.md, "User requests", has the proof. The message between peers gets optional fields only; a peer of an older version is read as before, and reads the three lists as before.

--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -6,6 +6,7 @@
 import { ScenarioCluster, siteTimings, runRefusedLeader } from './refused-leader.ts';
 import { heartbeatScenarios } from './heartbeat-scenarios.ts';
 import { requirePrecondition, type ScriptedScenario } from './scripted-scenario.ts';
+import { storeOutageScenarios } from './store-outage-scenarios.ts';
 import { userRequestScenarios } from './user-request-scenarios.ts';
 
 const longRunS = 1000;
@@ -444,4 +445,5 @@
   ...machineFaultScenarios,
   ...heartbeatScenarios,
   ...userRequestScenarios,
+  ...storeOutageScenarios,
 };
--- /dev/null
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -0,0 +1,116 @@
+import type { Violation } from '../src/invariant-checker.ts';
+import type { TransactionFault } from '../src/key-value-store-server.ts';
+import { ScenarioCluster } from './refused-leader.ts';
+import {
+  requirePrecondition,
+  type ScriptedScenario,
+  violationsAfterCompletion,
+} from './scripted-scenario.ts';
+
+const longRunS = 1000;
+/** Seconds of an outage in which a job without any answer counts as forgotten. */
+const longOutageS = 115;
+const polledJobs = ['j-2', 'j-3', 'j-4'];
+
+/** Three controllers in one zone. */
+async function startCluster(): Promise<ScenarioCluster> {
+  const cluster = new ScenarioCluster({
+    zones: ['a'],
+    nodes: ['a', 'a', 'a'],
+    initial: [{ type: 'small', zone: 'a', spot: false, count: 9 }],
+  });
+  await cluster.begin();
+  return cluster;
+}
+
+/** Submits jobs whose users poll them throughout the scenario, so that most polls are answered. */
+async function submitPolledJobs(cluster: ScenarioCluster): Promise<void> {
+  for (const id of polledJobs) cluster.submit({ id, tasks: 1, cores: 1 }, longRunS);
+  await cluster.until('all jobs run', () => polledJobs.every((id) => isRunning(cluster, id)), 30);
+}
+
+const isRunning = (cluster: ScenarioCluster, id: string): boolean =>
+  cluster.checker.runningTasks(id).length > 0;
+
+const isOpenInStore = (cluster: ScenarioCluster, id: string): boolean =>
+  cluster.store.read(`live/job/${id}`) !== undefined;
+
+/** Ends the outage, cancels the jobs that are still running, and waits until their users know the end. */
+async function endOutage(cluster: ScenarioCluster): Promise<void> {
+  cluster.store.setOutage(false);
+  await cluster.run(5);
+  for (const id of polledJobs) void cluster.users.cancelIfAccepted(id);
+  await cluster.run(60);
+}
+
+/**
+ * Guards against `forgotten` of seed 1, run 15 of `meetings`: a cancellation is applied but not answered. All
+ * controllers see that the open record is gone, none has read the final record, and then the key-value store
+ * is down for all of them. The user polls the job meanwhile.
+ */
+async function unansweredCancellation(
+  injectFault: (cluster: ScenarioCluster) => Promise<void> = () => Promise.resolve(),
+): Promise<Violation[]> {
+  const cluster = await startCluster();
+  cluster.submit({ id: 'j-1', tasks: 1, cores: 1 }, longRunS);
+  await submitPolledJobs(cluster);
+  await injectFault(cluster);
+  cluster.store.transactionFaultFor = (keys): TransactionFault | null =>
+    keys.includes('job/j-1') ? { appliedAfterMs: 0, answered: false } : null;
+  void cluster.cancelAtNode('j-1', 0);
+  await cluster.until('the cancellation is applied', () => !isOpenInStore(cluster, 'j-1'), 5, 5);
+  await cluster.run(0.2);
+  cluster.store.setOutage(true);
+  await cluster.run(longOutageS);
+  requirePrecondition('no user knows the end', cluster.checker.finalState('j-1') === null);
+  await endOutage(cluster);
+  requirePrecondition('the end is told', cluster.checker.finalState('j-1') === 'cancelled');
+  return violationsAfterCompletion(cluster);
+}
+
+/**
+ * Guards against an answer that is older than one given. A controller that its peers cannot reach completes a
+ * job and tells the user. It restarts, and its new process sees only that there is no open record. The others
+ * have seen the open record deleted. Then the key-value store is down, and users ask all of them again.
+ */
+async function completionToldBeforeRestart(): Promise<Violation[]> {
+  const cluster = await startCluster();
+  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
+  await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
+  const leader = cluster.ownerOf(cluster.slicesOf('j-1')[0]?.part ?? '');
+  const leaderName = `node-${String(leader)}`;
+  const heal = cluster.network.startPartition('drop', (x, y) => x.name === leaderName && y.kind === 'node');
+  await cluster.until('the job ends', () => !isOpenInStore(cluster, 'j-1'), 30, 5);
+  await cluster.run(0.1);
+  void cluster.queryNode('j-1', leader);
+  await cluster.run(0.1);
+  requirePrecondition('the end is told', cluster.checker.finalState('j-1') === 'done');
+  cluster.killController(leader);
+  heal();
+  cluster.startController(leader, 50);
+  await cluster.run(2);
+  cluster.store.setOutage(true);
+  await cluster.run(6);
+  for (let n = 0; n < 9; n++) {
+    void cluster.queryNode('j-1', n % 3);
+    await cluster.run(1);
+  }
+  cluster.store.setOutage(false);
+  await cluster.run(20);
+  return violationsAfterCompletion(cluster);
+}
+
+/** A controller restarts and has loaded its watch cache again. */
+async function restartSecondController(cluster: ScenarioCluster): Promise<void> {
+  cluster.killController(1);
+  await cluster.run(0.2);
+  cluster.startController(1, 50);
+  await cluster.run(6);
+}
+
+export const storeOutageScenarios: Record<string, ScriptedScenario> = {
+  'an unanswered cancellation, then a store outage for all nodes': () => unansweredCancellation(),
+  'a restart, an unanswered cancellation, then a store outage for all nodes': () =>
+    unansweredCancellation(restartSecondController),
+  'a completion told by a node that then restarts, before a store outage': completionToldBeforeRestart,
+};
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -376,6 +376,8 @@
 // --- jobs ---
 /** Finished jobs whose final status is cached, so that polls need no read. */
 export const FINISHED_JOBS_CACHED = 20_000;
+/** Jobs whose deleted open records are remembered: several minutes of ends in a large deployment. */
+export const DELETED_JOBS_REMEMBERED = 5000;
 /**
  * Milliseconds without proof of contact after which peers are asked before the key-value store, and no tasks
  * migrate.
--- a/packages/scheduler/src/coordination/jobs/job-cancellation.ts
+++ b/packages/scheduler/src/coordination/jobs/job-cancellation.ts
@@ -1,6 +1,6 @@
 /** Cancellation of a job at its user's request. */
 import { CANCEL_ATTEMPTS } from '../../constants.ts';
-import type { CompareAndSwapResult, Precondition } from '../../protocol/key-value.ts';
+import type { CompareAndSwapResult, Precondition, Revision } from '../../protocol/key-value.ts';
 import { encodeState, type UserAnswer, userAnswers } from '../../protocol/users.ts';
 import type { KeyValueStore } from '../../storage/key-value-store.ts';
 import { encodeJob } from '../../storage/record-codec.ts';
@@ -14,9 +14,9 @@
   readonly stateReader: JobStateReader;
   /**
    * Called when this node has committed the job's cancellation, or has found the job already cancelled while
-   * it executed a user's cancellation.
+   * it executed a user's cancellation. `revision` is that of the final record.
    */
-  readonly onCancelled: (jobId: string) => void;
+  readonly onCancelled: (jobId: string, revision: Revision | null) => void;
 }
 
 /** Cancels jobs. Idempotent: a repeated cancellation is answered with the job's final status. */
@@ -33,12 +33,12 @@
       const state = await stateReader.read(jobId);
       if (!state) return userAnswers.notFound;
       // Usually the transaction that cancelled the job got no answer, so that its sender notified no peers.
-      if (state.status === 'cancelled') onCancelled(jobId);
+      if (state.status === 'cancelled') onCancelled(jobId, finishedJobs.revision(jobId));
       if (state.status !== 'open') return { status: 200, body: encodeState(jobId, state.status) };
       const result = await this.writeCancellation(jobId, state.tasks, state.precondition);
       if (result.kind !== 'committed') continue; // the job was completed, cancelled or migrated meanwhile
-      finishedJobs.add(jobId, 'cancelled');
-      onCancelled(jobId);
+      finishedJobs.add(jobId, 'cancelled', result.revision);
+      onCancelled(jobId, result.revision);
       return { status: 200, body: encodeState(jobId, 'cancelled') };
     }
     return userAnswers.undecided;
--- a/packages/scheduler/src/coordination/jobs/job-completion.ts
+++ b/packages/scheduler/src/coordination/jobs/job-completion.ts
@@ -1,6 +1,6 @@
 /** Completion of jobs: writes the final record of a job once all of its tasks are settled. */
 import { COMPLETION_FALLBACK_MS, LOW_PRIORITY, RETRY_MS } from '../../constants.ts';
-import type { CompareAndSwapResult } from '../../protocol/key-value.ts';
+import type { CompareAndSwapResult, Revision } from '../../protocol/key-value.ts';
 import type { KeyValueStore, Lane } from '../../storage/key-value-store.ts';
 import type { OpenJob, OpenJobs } from '../../storage/open-jobs.ts';
 import { encodeJob } from '../../storage/record-codec.ts';
@@ -19,8 +19,8 @@
   readonly openJobs: OpenJobs;
   /** Whether this node leads the shard. */
   readonly leads: (shard: string) => boolean;
-  /** Called once the job's final record is committed. */
-  readonly onDone: (jobId: string) => void;
+  /** Called once the job's final record is committed, at this revision. */
+  readonly onDone: (jobId: string, revision: Revision) => void;
 }
 
 /** The lane of a job's final write, by the job's priority. Low priority yields to users' requests. */
@@ -102,7 +102,7 @@
     const { id, record } = job;
     try {
       const result = await this.writeFinalRecord(job, lane);
-      if (result.kind === 'committed') onDone(id);
+      if (result.kind === 'committed') onDone(id, result.revision);
       const { class: jobClass, estimateS, tasks } = record.spec;
       const durationMs = wallClock() - record.at;
       log.debug(
--- a/packages/scheduler/src/coordination/jobs/job-requests.ts
+++ b/packages/scheduler/src/coordination/jobs/job-requests.ts
@@ -4,7 +4,7 @@
  */
 import { STORE_CONTACT_STALE_MS } from '../../constants.ts';
 import type { MachineType } from '../../protocol/cloud.ts';
-import { RequestRejected } from '../../protocol/key-value.ts';
+import { RequestRejected, type Revision } from '../../protocol/key-value.ts';
 import type { UserOperation } from '../../protocol/peer-messages.ts';
 import { encodeState, type JobSpec, type UserAnswer, userAnswers } from '../../protocol/users.ts';
 import type { Settings } from '../../settings.ts';
@@ -41,13 +41,13 @@
   readonly shardMap: ShardMap;
   /** The cloud's machine types; null until they have been read. */
   readonly catalog: () => MachineType[] | null;
-  /** The unanimous read: whether all nodes, asked after this call began, observe the job as open. */
-  readonly isOpenAtAllNodes: (jobId: string) => Promise<boolean>;
+  /** The unanimous read: whether no node, asked after this call began, may have reported the job's end. */
+  readonly isUnfinishedForUsers: (jobId: string) => Promise<boolean>;
   /**
    * Called when this node has committed the job's cancellation, or has found the job already cancelled while
-   * it executed a user's cancellation.
+   * it executed a user's cancellation. `revision` is that of the final record.
    */
-  readonly onCancelled: (jobId: string) => void;
+  readonly onCancelled: (jobId: string, revision: Revision | null) => void;
   /** Forwards a request to the peers, in case one reaches the key-value store; null if no peer answers it. */
   readonly forward: (operation: UserOperation, body: JobSpec | string) => Promise<UserAnswer | null>;
 }
@@ -113,9 +113,17 @@
     return this.finishedJobs.has(jobId);
   }
 
-  /** Caches the final status of a job whose final record this node or a peer has committed. */
-  recordFinalStatus(jobId: string, status: FinalStatus): void {
-    this.finishedJobs.add(jobId, status);
+  /** Ends that this node may have reported to users, and has evicted, have at most this revision. */
+  get forgottenEndsUpTo(): Revision {
+    return this.finishedJobs.evictedUpTo;
+  }
+
+  /**
+   * Caches the final status of a job whose final record this node or a peer has committed. `revision` is that
+   * of the final record; null if it is not known.
+   */
+  recordFinalStatus(jobId: string, status: FinalStatus, revision: Revision | null): void {
+    this.finishedJobs.add(jobId, status, revision);
   }
 
   private execute(operation: UserOperation, body: JobSpec | string): Promise<UserAnswer> {
@@ -149,9 +157,9 @@
     }
   }
 
-  /** The job's view if all nodes observe the job as open, otherwise null. Does not read the store. */
+  /** The view of an open job if no node may have reported the job's end, else null. Does not read the store. */
   private async viewByUnanimousRead(jobId: string): Promise<UserAnswer | null> {
-    if (!(await this.context.isOpenAtAllNodes(jobId))) return null;
+    if (!(await this.context.isUnfinishedForUsers(jobId))) return null;
     const tasks = this.context.openSpec(jobId)?.tasks ?? 0;
     return viewAnswer(this.stateReader.openView(jobId, tasks));
   }
--- a/packages/scheduler/src/coordination/jobs/job-state-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/job-state-reader.ts
@@ -80,7 +80,7 @@
     const entry = await this.context.store.get(jobKey(jobId), 'user');
     if (!entry) return null;
     const job = decodeJob(entry.value);
-    this.context.finishedJobs.add(jobId, job.status);
+    this.context.finishedJobs.add(jobId, job.status, entry.version);
     return job;
   }
 
--- a/packages/scheduler/src/coordination/leadership/unanimous-read.ts
+++ b/packages/scheduler/src/coordination/leadership/unanimous-read.ts
@@ -1,6 +1,6 @@
 /**
  * Unanimous reads: while no node reaches the key-value store, the observations of all nodes together can show
- * that a job is open. docs/design.md, "User requests", has the proof.
+ * that nobody has reported the end of a job to its user. docs/design.md, "User requests", has the proof.
  */
 import { UNANIMOUS_READ_DEADLINE_MS, UNANIMOUS_READ_GAP_MS, UNANIMOUS_READ_BATCH } from '../../constants.ts';
 import type { ExactInteger } from '../../protocol/json.ts';
@@ -10,16 +10,25 @@
 import type { NodeIdentity } from './membership.ts';
 
 /**
- * What a node knows of a job: the version of its open record, that the job is over, or that its watch cache
- * has no open record of the job as of a revision.
+ * What a node knows of a job. `open`: its watch cache has the open record, at this version. `over`: the job is
+ * over, or the node can say nothing. `none`: its watch cache has no open record as of a revision, and the node
+ * does not know how the job ended.
+ *
+ * `endedAfter`: a revision that the job's end is later than; 0 if the node has never seen the job open.
+ * `forgottenEndsUpTo`: ends that the node may have reported to users, and that its process does not remember,
+ * have at most this revision.
  */
 export type JobObservation =
-  { kind: 'open'; version: ExactInteger } | { kind: 'over' } | { kind: 'none'; asOf: ExactInteger };
+  | { kind: 'open'; version: ExactInteger; endedAfter: ExactInteger }
+  | { kind: 'over' }
+  | { kind: 'none'; asOf: ExactInteger; endedAfter: ExactInteger; forgottenEndsUpTo: ExactInteger };
 
 /** Knows what this node has observed of jobs. */
 export interface JobObserver {
   /** What this node knows of the job; null while its watch cache is not complete. */
   observe(job: string): JobObservation | null;
+  /** See {@link JobObservation}; null before the first answer of the key-value store. */
+  readonly forgottenEndsUpTo: ExactInteger | null;
 }
 
 /** What {@link UnanimousRead} needs of its node. */
@@ -34,21 +43,22 @@
 }
 
 /**
- * Whether a job is open according to the observations of all nodes. At least one node must have an open
- * record; the newest version counts. A node without a record has either seen the record deleted or not yet
- * seen it created. The latter is certain if its watch cache is older than that version. Then no process of
- * that node can have reported the job's end to a user: a process remembers the ends that it has reported, and
- * what earlier processes knew was committed before this process read its watch cache.
+ * Whether no node can have reported the end of the job, by the observations of all nodes. At least one node
+ * must have seen the job open; the newest of these observations counts. A process that has reported an end
+ * remembers it, and observes `over`. An end that a node has reported and does not remember is not later than
+ * `forgottenEndsUpTo`, so it is not the end of a job that was still open then.
  */
-function isOpenByAll(observations: readonly JobObservation[]): boolean {
-  let newest: ExactInteger = 0;
+function isUnreportedByAll(observations: readonly JobObservation[]): boolean {
+  let lastOpenAt: ExactInteger = 0;
   for (const observation of observations)
-    if (observation.kind === 'open' && observation.version > newest) newest = observation.version;
+    if (observation.kind !== 'over' && observation.endedAfter > lastOpenAt)
+      lastOpenAt = observation.endedAfter;
   return (
-    newest > 0 &&
+    lastOpenAt > 0 &&
     observations.every(
       (observation) =>
-        observation.kind === 'open' || (observation.kind === 'none' && observation.asOf < newest),
+        observation.kind === 'open' ||
+        (observation.kind === 'none' && observation.forgottenEndsUpTo <= lastOpenAt),
     )
   );
 }
@@ -71,15 +81,18 @@
  */
 export class UnanimousRead {
   /** Resolvers of the requests that wait for a round, by job. */
-  private readonly waitingRequests = new Map<string, ((isOpen: boolean) => void)[]>();
+  private readonly waitingRequests = new Map<string, ((isUnreported: boolean) => void)[]>();
   private round: Round | null = null;
   private roundCount = 0;
   private isRunning = false;
 
   constructor(private readonly context: UnanimousReadContext) {}
 
-  /** Whether observations of all nodes, this one included, made after this call show that the job is open. */
-  async isJobOpen(job: string): Promise<boolean> {
+  /**
+   * Whether observations of all nodes, this one included, made after this call show that the job was accepted
+   * and that no node can have reported its end to a user.
+   */
+  async isUnfinishedForUsers(job: string): Promise<boolean> {
     const { jobView, peers } = this.context;
     const known = jobView.observe(job)?.kind ?? 'over';
     // All nodes must take part. The read cannot succeed if a peer is not connected, or if this node has seen
@@ -101,17 +114,19 @@
       for (const [job] of batch) this.waitingRequests.delete(job);
       const observations = await this.runRound(batch.map(([job]) => job));
       for (const [job, resolvers] of batch) {
-        const isOpen = this.isOpenAfterRound(job, observations);
-        for (const resolve of resolvers) resolve(isOpen);
+        const isUnreported = this.isUnreportedAfterRound(job, observations);
+        for (const resolve of resolvers) resolve(isUnreported);
       }
       await clock.sleep(UNANIMOUS_READ_GAP_MS, signal);
     }
     this.isRunning = false;
   }
 
-  private isOpenAfterRound(job: string, observations: Map<string, JobObservation[]> | null): boolean {
+  private isUnreportedAfterRound(job: string, observations: Map<string, JobObservation[]> | null): boolean {
     const own = this.context.jobView.observe(job);
-    return observations !== null && own !== null && isOpenByAll([own, ...(observations.get(job) ?? [])]);
+    return (
+      observations !== null && own !== null && isUnreportedByAll([own, ...(observations.get(job) ?? [])])
+    );
   }
 
   /** The peers' observations of the jobs; null if not all peers have replied in time. */
@@ -135,23 +150,47 @@
 
   /** A peer asks what this node knows of jobs. A job that cannot be observed counts as over. */
   onRequest(from: string, { requestId, jobIds }: ObservationRequest): void {
-    const reply: ObservationReply = { kind: 'observationReply', requestId, open: [], over: [], none: [] };
+    const { jobView, peers } = this.context;
+    const { forgottenEndsUpTo } = jobView;
+    const lists = { open: [], over: [], none: [], endedAfter: [] };
+    const reply: ObservationReply = { kind: 'observationReply', requestId, ...lists, forgottenEndsUpTo };
     for (const job of jobIds) {
-      const observation = this.context.jobView.observe(job);
-      if (!observation || observation.kind === 'over') reply.over.push(job);
+      const observation = jobView.observe(job) ?? { kind: 'over' };
+      if (observation.kind === 'over') reply.over.push(job);
       else if (observation.kind === 'open') reply.open.push([job, observation.version]);
       else reply.none.push([job, observation.asOf]);
+      if (observation.kind !== 'over' && observation.endedAfter > 0)
+        reply.endedAfter.push([job, observation.endedAfter]);
     }
-    this.context.peers.send(from, reply);
+    peers.send(from, reply);
   }
 
   /** A peer has replied. Replies to earlier rounds and repeated ones are dropped. */
-  onReply(from: string, { requestId, open, over, none }: ObservationReply): void {
+  onReply(from: string, reply: ObservationReply): void {
     const { round } = this;
-    if (round?.id !== requestId || !round.unanswered.delete(from)) return;
-    for (const [job, version] of open) round.observations.get(job)?.push({ kind: 'open', version });
-    for (const job of over) round.observations.get(job)?.push({ kind: 'over' });
-    for (const [job, asOf] of none) round.observations.get(job)?.push({ kind: 'none', asOf });
+    if (round?.id !== reply.requestId || !round.unanswered.delete(from)) return;
+    for (const [job, observation] of observationsIn(reply)) round.observations.get(job)?.push(observation);
     if (round.unanswered.size === 0) round.ended.abort();
   }
 }
+
+/** The observations in a peer's reply. A peer of an older version reports fewer bounds, and weaker ones. */
+function observationsIn(reply: ObservationReply): [job: string, JobObservation][] {
+  const endedAfter = new Map(reply.endedAfter);
+  return [
+    ...reply.open.map(([job, version]): [string, JobObservation] => [
+      job,
+      { kind: 'open', version, endedAfter: endedAfter.get(job) ?? version },
+    ]),
+    ...reply.over.map((job): [string, JobObservation] => [job, { kind: 'over' }]),
+    ...reply.none.map(([job, asOf]): [string, JobObservation] => [
+      job,
+      {
+        kind: 'none',
+        asOf,
+        endedAfter: endedAfter.get(job) ?? 0,
+        forgottenEndsUpTo: reply.forgottenEndsUpTo ?? asOf,
+      },
+    ]),
+  ];
+}
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -6,6 +6,7 @@
 import { CachedPages } from '../storage/cached-pages.ts';
 import { KeyValueStore } from '../storage/key-value-store.ts';
 import { WatchCache } from '../storage/watch-cache.ts';
+import { DeletedJobs } from '../storage/deleted-jobs.ts';
 import { OpenJobs } from '../storage/open-jobs.ts';
 import type { MachinesRecord, ProgressRecord } from '../storage/records.ts';
 import type { Settings } from '../settings.ts';
@@ -70,6 +71,8 @@
   readonly quotas: Quotas;
   readonly shardLoads: ShardLoads;
   readonly openJobs = new OpenJobs();
+  /** Jobs whose open records have been deleted lately. */
+  readonly deletedJobs = new DeletedJobs();
   /** The shards' machine records, as the watch cache has them. */
   readonly machinePages = new CachedPages<MachinesRecord>();
   /** The shards' progress records, as the watch cache has them. */
@@ -206,11 +209,11 @@
       catalog: () => catalog.types,
       openSpec: (job) => openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => jobView.progress(job),
-      isOpenAtAllNodes: (job) => unanimousRead.isJobOpen(job),
+      isUnfinishedForUsers: (job) => unanimousRead.isUnfinishedForUsers(job),
       forward: (operation, body) => forwarding.forward(operation, body),
-      onCancelled: (job) => {
-        dispatcher.onJobCancelled(job);
-        peers.broadcast({ kind: 'jobsCancelled', jobIds: [job] });
+      onCancelled: (job, revision) => {
+        dispatcher.onJobCancelled(job, revision);
+        peers.broadcast({ kind: 'jobsCancelled', jobIds: [job], revision });
       },
     });
   }
@@ -224,7 +227,7 @@
       store,
       openJobs,
       leads: (shard) => ledShards.get(shard) !== undefined,
-      onDone: (job) => jobRequests.recordFinalStatus(job, 'done'),
+      onDone: (job, revision) => jobRequests.recordFinalStatus(job, 'done', revision),
     });
   }
 
--- a/packages/scheduler/src/coordination/peer-message-dispatcher.ts
+++ b/packages/scheduler/src/coordination/peer-message-dispatcher.ts
@@ -49,7 +49,7 @@
       case 'handover':
         return ledShards.onHandover(message);
       case 'jobsCancelled':
-        return message.jobIds.forEach((job) => dispatcher.onJobCancelled(job));
+        return message.jobIds.forEach((job) => dispatcher.onJobCancelled(job, message.revision));
       case 'observationRequest':
         return unanimousRead.onRequest(from, message);
       case 'observationReply':
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -1,7 +1,9 @@
 /** Passes changes of the records under `live/` from the watch cache to the components that use them. */
 import type { CachedPages } from '../storage/cached-pages.ts';
+import type { DeletedJobs } from '../storage/deleted-jobs.ts';
 import type { OpenJob, OpenJobs } from '../storage/open-jobs.ts';
 import type { LiveRecord, MachinesRecord, OpenJobRecord, ProgressRecord } from '../storage/records.ts';
+import type { WatchCache } from '../storage/watch-cache.ts';
 import type { ExactInteger } from '../protocol/json.ts';
 import type { Clock } from '../transport/clock.ts';
 import type { Log } from '../transport/background-task.ts';
@@ -29,6 +31,8 @@
   readonly machinePages: CachedPages<MachinesRecord>;
   readonly progressPages: CachedPages<ProgressRecord>;
   readonly openJobs: OpenJobs;
+  readonly deletedJobs: DeletedJobs;
+  readonly watchCache: WatchCache;
   readonly jobRequests: JobRequests;
   readonly jobCompletion: JobCompletion;
   readonly failingJobs: FailingJobs;
@@ -88,6 +92,7 @@
         return;
       case 'job':
         if (change.record) return this.onOpenJob(change.id, change.record, version);
+        this.context.deletedJobs.add(change.id, this.context.watchCache.currentRevision);
         return this.onJobOver(change.id, openJobs.remove(change.id));
       case 'quota':
         quotas.set(change.team, change.record);
@@ -98,10 +103,11 @@
   /**
    * The job has been cancelled by a transaction of this node, or of a peer that has notified this one. Its
    * tasks are stopped at once, because this node may not reach the key-value store for a long time. That
-   * they end in time does not depend on this notification (docs/design.md, "Leader lease").
+   * they end in time does not depend on this notification (docs/design.md, "Leader lease"). `revision` is that
+   * of the final record; null if it is not known.
    */
-  onJobCancelled(id: string): void {
-    this.context.jobRequests.recordFinalStatus(id, 'cancelled');
+  onJobCancelled(id: string, revision: ExactInteger | null): void {
+    this.context.jobRequests.recordFinalStatus(id, 'cancelled', revision);
     this.onJobOver(id, this.context.openJobs.close(id));
   }
 
--- a/packages/scheduler/src/protocol/peer-message-codec.ts
+++ b/packages/scheduler/src/protocol/peer-message-codec.ts
@@ -41,7 +41,11 @@
     free: z.record(z.string(), z.string()),
   }),
   z.object({ kind: z.literal('beat') }),
-  z.object({ kind: z.literal('cancelled'), jobs: z.array(z.string()) }),
+  z.object({
+    kind: z.literal('cancelled'),
+    jobs: z.array(z.string()),
+    revision: z.optional(exactInteger),
+  }),
   z.object({ kind: z.literal('vouch'), id: z.string(), jobs: z.array(z.string()) }),
   z.object({
     kind: z.literal('vouched'),
@@ -49,6 +53,8 @@
     open: z.array(wireJobRevision),
     over: z.array(z.string()),
     none: z.array(wireJobRevision),
+    after: z.optional(z.array(wireJobRevision)),
+    upTo: z.optional(exactInteger),
   }),
   z.object({
     kind: z.literal('ask'),
@@ -85,7 +91,11 @@
     case 'keepalive':
       return { kind: 'beat' };
     case 'jobsCancelled':
-      return { kind: 'cancelled', jobs: message.jobIds };
+      return {
+        kind: 'cancelled',
+        jobs: message.jobIds,
+        ...(message.revision === null ? {} : { revision: message.revision }),
+      };
     case 'observationRequest':
       return { kind: 'vouch', id: message.requestId, jobs: message.jobIds };
     case 'observationReply':
@@ -95,6 +105,8 @@
         open: message.open,
         over: message.over,
         none: message.none,
+        ...(message.endedAfter.length === 0 ? {} : { after: message.endedAfter }),
+        ...(message.forgottenEndsUpTo === null ? {} : { upTo: message.forgottenEndsUpTo }),
       };
     case 'forwardedRequest':
       return {
@@ -149,7 +161,7 @@
     case 'beat':
       return { kind: 'keepalive' };
     case 'cancelled':
-      return { kind: 'jobsCancelled', jobIds: wire.jobs };
+      return { kind: 'jobsCancelled', jobIds: wire.jobs, revision: wire.revision ?? null };
     case 'vouch':
       return { kind: 'observationRequest', requestId: wire.id, jobIds: wire.jobs };
     case 'vouched':
@@ -159,6 +171,8 @@
         open: wire.open,
         over: wire.over,
         none: wire.none,
+        endedAfter: wire.after ?? [],
+        forgottenEndsUpTo: wire.upTo ?? null,
       };
     case 'ask':
       return {
--- a/packages/scheduler/src/protocol/peer-messages.ts
+++ b/packages/scheduler/src/protocol/peer-messages.ts
@@ -86,6 +86,8 @@
 export interface JobsCancelled {
   kind: 'jobsCancelled';
   jobIds: JobId[];
+  /** Revision of the final records; null from a peer of an older version. */
+  revision: Revision | null;
 }
 
 /** Asks for the receiver's observation of these jobs, for a unanimous read. */
@@ -107,6 +109,13 @@
   over: JobId[];
   /** Jobs without an open record in the sender's watch cache, with the revision of the cache. */
   none: [job: JobId, asOf: Revision][];
+  /** Jobs in `open` or `none` that the sender has seen open, each with a revision that its end is later than. */
+  endedAfter: [job: JobId, revision: Revision][];
+  /**
+   * Ends that the sender's node may have reported to users, and that the sender does not remember, have at
+   * most this revision. Null from a peer of an older version.
+   */
+  forgottenEndsUpTo: Revision | null;
 }
 
 /** An operation that a user may request for a job. */
--- a/packages/scheduler/src/storage/watch-cache.ts
+++ b/packages/scheduler/src/storage/watch-cache.ts
@@ -40,6 +40,7 @@
    */
   confirmedAt = -Infinity;
   private revision: Revision = 0;
+  private firstSeen: Revision | null = null;
   private readonly waiters = new Set<Waiter>();
 
   constructor(
@@ -56,6 +57,11 @@
     return this.revision;
   }
 
+  /** The first revision of the key-value store that this process has seen; null before the first answer. */
+  get firstRevision(): Revision | null {
+    return this.firstSeen;
+  }
+
   /** The version of a key under `live/`; 0 for a key that does not exist, as in a precondition. */
   version(key: string): Revision {
     return this.entries.get(key)?.version ?? 0;
@@ -126,6 +132,7 @@
     for (let pages = 0; pages < MAX_LIST_PAGES; pages++) {
       const page = await store.list(LIVE_PREFIX, after);
       firstRevision ??= page.revision;
+      this.firstSeen ??= page.revision;
       for (const entry of page.entries) fresh.set(entry.key, entry);
       after = page.entries.at(-1)?.key ?? null;
       if (!page.more || after === null) break;
--- a/packages/scheduler/test/jobs.test.ts
+++ b/packages/scheduler/test/jobs.test.ts
@@ -73,4 +73,25 @@
     assert.equal(finished.get('j-1'), 'done');
     assert.equal(finished.get(`j-${String(FINISHED_JOBS_CACHED)}`), 'done');
   });
+
+  // Guards against an answer that is older than one given: an evicted end may have been reported to its user.
+  it('bound the revisions of the evicted ones, without a bound for an unknown revision', () => {
+    const finished = new FinishedJobs();
+    const add = (count: number, revision: number | null): void => {
+      for (let n = 0; n < count; n++) finished.add(`j-${String(revision)}-${String(n)}`, 'done', revision);
+    };
+    add(FINISHED_JOBS_CACHED, 7);
+    assert.equal(finished.evictedUpTo, 0);
+    add(1, null);
+    assert.equal(finished.evictedUpTo, 7);
+    add(FINISHED_JOBS_CACHED, 9);
+    assert.equal(finished.evictedUpTo, Number.MAX_SAFE_INTEGER);
+  });
+
+  it('keep the revision of a final record when the same end is learned again without it', () => {
+    const finished = new FinishedJobs();
+    finished.add('j-1', 'cancelled', 5);
+    finished.add('j-1', 'cancelled');
+    assert.equal(finished.revision('j-1'), 5);
+  });
 });
