Make the end of a job known to all controllers, and let any of them answer for it

Besides, a peer that did know an end gave it only to users of its own: a forwarded request did not look into the cache of ended jobs.

Fix: the controller that commits a completion notifies its peers, as it did for a cancellation. An end that nobody has reported is read 0.25 s after the deletion, eight in a turn of 0.25 s, behind users' requests, at most 1,000 waiting. A forwarded request is answered from the cache of ended jobs.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -376,6 +376,17 @@
 // --- jobs ---
 /** Finished jobs whose final status is cached, so that polls need no read. */
 export const FINISHED_JOBS_CACHED = 20_000;
+/**
+ * Milliseconds from the deletion of a job's open record until its final record is read, unless a peer reports
+ * the end before: several times what a message between controllers takes.
+ */
+export const FINAL_RECORD_GRACE_MS = 250;
+/** Milliseconds between turns in which missing final records are read. */
+export const FINAL_RECORD_TICK_MS = 250;
+/** Final records that are read in one turn at most. */
+export const FINAL_RECORD_READS = 8;
+/** Jobs whose final records are still to be read at most. */
+export const FINAL_RECORDS_MISSING_MAX = 1000;
 /** Jobs whose deleted open records are remembered: several minutes of ends in a large deployment. */
 export const DELETED_JOBS_REMEMBERED = 5000;
 /**
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -1,6 +1,7 @@
 /** One controller: the interface that its process, or a simulation, calls. */
 import {
   AUTOSCALE_TICK_MS,
+  FINAL_RECORD_TICK_MS,
   LEADERSHIP_TICK_MS,
   MACHINE_LIST_MS,
   MIGRATION_TICK_MS,
@@ -25,7 +26,8 @@
 
   /** Runs until the signal is aborted. */
   async run(): Promise<void> {
-    const { catalog, eventLoopLag, failover, ledShards, machineList, migration } = this.components;
+    const { catalog, eventLoopLag, failover, finalRecords, ledShards } = this.components;
+    const { machineList, migration } = this.components;
     const { prober, quotaRebalancer, registration, signal, watchCache } = this.components;
     const start = (name: string, everyMs: number, task: () => Promise<void> | void): Promise<void> =>
       runPeriodically(name, everyMs, this.components, task);
@@ -39,6 +41,7 @@
       start('machine list', MACHINE_LIST_MS, () => machineList.refresh()),
       start('reachability', REACHABILITY_PROBE_MS, () => prober.probeAll()),
       catalog.run(),
+      start('final records', FINAL_RECORD_TICK_MS, () => finalRecords.readMissing()),
       start('quotas', QUOTA_REBALANCE_MS, () => quotaRebalancer.rebalance()),
       start('migration', MIGRATION_TICK_MS, () => migration.migrateOne()),
       start('peer keepalive', PEER_KEEPALIVE_MS, () => this.sendKeepalives()),
--- a/packages/scheduler/src/coordination/jobs/job-requests.ts
+++ b/packages/scheduler/src/coordination/jobs/job-requests.ts
@@ -16,6 +16,7 @@
 import type { Random } from '../../transport/random.ts';
 import type { ShardMap } from '../leadership/shard-map.ts';
 import type { ShardLoads } from '../scheduling/shard-loads.ts';
+import type { FinalRecord } from './final-record-reader.ts';
 import { type FinalStatus, FinishedJobs } from './finished-jobs.ts';
 import { JobCancellation } from './job-cancellation.ts';
 import { JobStateReader, type OpenJobLookup, viewAnswer } from './job-state-reader.ts';
@@ -97,9 +98,12 @@
   }
 
   /**
-   * Executes a request that a peer forwarded; null if this node does not reach the key-value store either.
+   * Executes a request that a peer forwarded; null if this node knows no final status of the job and does not
+   * reach the key-value store either.
    */
   async handleLocally(operation: UserOperation, body: JobSpec | string): Promise<UserAnswer | null> {
+    const known = this.knownAnswer(operation, typeof body === 'string' ? body : body.id);
+    if (known) return known;
     try {
       return await this.execute(operation, body);
     } catch (error: unknown) {
@@ -108,6 +112,11 @@
     }
   }
 
+  /** The job's final record; null if there is none. Rejects if the key-value store cannot be read. */
+  readFinalRecord(jobId: string): Promise<FinalRecord | null> {
+    return this.stateReader.readFinalRecord(jobId);
+  }
+
   /** Whether this node has the job's final status in its cache. */
   isFinished(jobId: string): boolean {
     return this.finishedJobs.has(jobId);
@@ -126,6 +135,12 @@
     this.finishedJobs.add(jobId, status, revision);
   }
 
+  /** The answer to a request for a job whose final status is cached; null for any other job. */
+  private knownAnswer(operation: UserOperation, jobId: string): UserAnswer | null {
+    const finalStatus = this.finishedJobs.get(jobId);
+    return finalStatus ? finalAnswer(operation, jobId, finalStatus) : null;
+  }
+
   private execute(operation: UserOperation, body: JobSpec | string): Promise<UserAnswer> {
     if (typeof body !== 'string') return this.submission.submit(body);
     return operation === 'cancel' ? this.cancellation.cancel(body) : this.stateReader.status(body);
@@ -139,8 +154,8 @@
    */
   private async route(operation: UserOperation, body: JobSpec | string, jobId: string): Promise<UserAnswer> {
     const { clock, watchCache, forward } = this.context;
-    const finalStatus = this.finishedJobs.get(jobId);
-    if (finalStatus) return finalAnswer(operation, jobId, finalStatus);
+    const known = this.knownAnswer(operation, jobId);
+    if (known) return known;
     const isStoreContactStale = clock.now() - watchCache.confirmedAt > STORE_CONTACT_STALE_MS;
     if (isStoreContactStale) {
       // Both at the same time, so that a peer that does not respond to one does not delay the other.
--- a/packages/scheduler/src/coordination/jobs/job-state-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/job-state-reader.ts
@@ -12,6 +12,7 @@
 import { decodeJob, decodeOpenJob } from '../../storage/record-codec.ts';
 import { jobKey, openJobKey } from '../../storage/records.ts';
 import type { WatchCache } from '../../storage/watch-cache.ts';
+import type { FinalRecord } from './final-record-reader.ts';
 import type { FinalStatus, FinishedJobs } from './finished-jobs.ts';
 
 /** A job's state in the key-value store: open, with the open record's version as a precondition, or final. */
@@ -76,6 +77,12 @@
     return { status: 'open', tasks: spec.tasks, precondition: { key: entry.key, version: entry.version } };
   }
 
+  /** The job's final record; null if there is none. Does not delay the requests of users. */
+  async readFinalRecord(jobId: string): Promise<FinalRecord | null> {
+    const entry = await this.context.store.get(jobKey(jobId), 'background');
+    return entry && { status: decodeJob(entry.value).status, revision: entry.version };
+  }
+
   private async readFinished(jobId: string): Promise<JobState | null> {
     const entry = await this.context.store.get(jobKey(jobId), 'user');
     if (!entry) return null;
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -2,7 +2,7 @@
 import { CLOUD_DEADLINE_MS, STORE_DEADLINE_MS } from '../constants.ts';
 import { LeaderLease, leaderLeaseMs } from '../leader-lease.ts';
 import { cloudClient } from '../protocol/cloud.ts';
-import { keyValueApi } from '../protocol/key-value.ts';
+import { keyValueApi, type Revision } from '../protocol/key-value.ts';
 import { CachedPages } from '../storage/cached-pages.ts';
 import { KeyValueStore } from '../storage/key-value-store.ts';
 import { WatchCache } from '../storage/watch-cache.ts';
@@ -20,6 +20,7 @@
 import type { ControllerDependencies } from './controller-dependencies.ts';
 import { JobView } from './job-view.ts';
 import { FailingJobs } from './jobs/failing-jobs.ts';
+import { FinalRecordReader } from './jobs/final-record-reader.ts';
 import { JobCompletion } from './jobs/job-completion.ts';
 import { JobRequests } from './jobs/job-requests.ts';
 import { Failover } from './leadership/failover.ts';
@@ -102,6 +103,7 @@
   readonly failingJobs: FailingJobs;
   readonly jobRequests: JobRequests;
   readonly jobCompletion: JobCompletion;
+  readonly finalRecords: FinalRecordReader;
   readonly jobView = new JobView(this);
   readonly unanimousRead = new UnanimousRead(this);
   readonly forwarding = new RequestForwarding(this);
@@ -146,6 +148,7 @@
     this.failingJobs = this.createFailingJobs();
     this.jobRequests = this.createJobRequests();
     this.jobCompletion = this.createJobCompletion();
+    this.finalRecords = this.createFinalRecordReader();
     this.order = new JobOrder(this);
     this.migration = this.createMigration();
   }
@@ -195,7 +198,7 @@
   }
 
   private createJobRequests(): JobRequests {
-    const { catalog, clock, dispatcher, forwarding, jobView, openJobs, peers } = this;
+    const { catalog, clock, forwarding, jobView, openJobs } = this;
     const { random, settings, shardLoads, shardMap, store, unanimousRead, wallClock, watchCache } = this;
     return new JobRequests({
       settings,
@@ -211,15 +214,38 @@
       progress: (job) => jobView.progress(job),
       isUnfinishedForUsers: (job) => unanimousRead.isUnfinishedForUsers(job),
       forward: (operation, body) => forwarding.forward(operation, body),
-      onCancelled: (job, revision) => {
-        dispatcher.onJobCancelled(job, revision);
-        peers.broadcast({ kind: 'jobsCancelled', jobIds: [job], revision });
+      onCancelled: (job, revision) => this.announceCancellation(job, revision),
+    });
+  }
+
+  private createFinalRecordReader(): FinalRecordReader {
+    const { clock, jobRequests, log } = this;
+    return new FinalRecordReader({
+      clock,
+      log,
+      isFinished: (job) => jobRequests.isFinished(job),
+      read: (job) => jobRequests.readFinalRecord(job),
+      onRead: (job, { status, revision }) => {
+        if (status === 'done') this.announceCompletion(job, revision);
+        else this.announceCancellation(job, revision);
       },
     });
   }
 
+  /** The job's cancellation is committed: its tasks are stopped, and all peers are notified. */
+  private announceCancellation(job: string, revision: Revision | null): void {
+    this.dispatcher.onJobCancelled(job, revision);
+    this.peers.broadcast({ kind: 'jobsCancelled', jobIds: [job], revision });
+  }
+
+  /** The job's completion is committed: all peers are notified, so that any of them can answer its user. */
+  private announceCompletion(job: string, revision: Revision): void {
+    this.jobRequests.recordFinalStatus(job, 'done', revision);
+    this.peers.broadcast({ kind: 'jobsDone', jobIds: [job], revision });
+  }
+
   private createJobCompletion(): JobCompletion {
-    const { clock, jobRequests, ledShards, log, openJobs, store, wallClock } = this;
+    const { clock, ledShards, log, openJobs, store, wallClock } = this;
     return new JobCompletion({
       clock,
       wallClock,
@@ -227,7 +253,7 @@
       store,
       openJobs,
       leads: (shard) => ledShards.get(shard) !== undefined,
-      onDone: (job, revision) => jobRequests.recordFinalStatus(job, 'done', revision),
+      onDone: (job, revision) => this.announceCompletion(job, revision),
     });
   }
 
--- a/packages/scheduler/src/coordination/peer-message-dispatcher.ts
+++ b/packages/scheduler/src/coordination/peer-message-dispatcher.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../transport/clock.ts';
 import type { Log } from '../transport/background-task.ts';
 import type { FailingJobs } from './jobs/failing-jobs.ts';
+import type { JobRequests } from './jobs/job-requests.ts';
 import type { LedShards } from './leadership/led-shards.ts';
 import type { RequestForwarding } from './leadership/request-forwarding.ts';
 import type { UnanimousRead } from './leadership/unanimous-read.ts';
@@ -18,6 +19,7 @@
   readonly ledShards: LedShards;
   readonly dispatcher: WatchDispatcher;
   readonly unanimousRead: UnanimousRead;
+  readonly jobRequests: JobRequests;
   readonly forwarding: RequestForwarding;
 }
 
@@ -34,7 +36,7 @@
 
   /** Handles a message from the named peer. A message that cannot be decoded is logged and dropped. */
   onMessage(from: string, raw: unknown): void {
-    const { clock, dispatcher, forwarding, ledShards, log, unanimousRead } = this.context;
+    const { clock, dispatcher, forwarding, jobRequests, ledShards, log, unanimousRead } = this.context;
     const message = decodePeerMessage(raw);
     this.lastAt = clock.now();
     switch (message?.kind) {
@@ -50,6 +52,9 @@
         return ledShards.onHandover(message);
       case 'jobsCancelled':
         return message.jobIds.forEach((job) => dispatcher.onJobCancelled(job, message.revision));
+      case 'jobsDone':
+        for (const job of message.jobIds) jobRequests.recordFinalStatus(job, 'done', message.revision);
+        return;
       case 'observationRequest':
         return unanimousRead.onRequest(from, message);
       case 'observationReply':
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../transport/clock.ts';
 import type { Log } from '../transport/background-task.ts';
 import type { FailingJobs } from './jobs/failing-jobs.ts';
+import type { FinalRecordReader } from './jobs/final-record-reader.ts';
 import type { JobCompletion } from './jobs/job-completion.ts';
 import type { JobRequests } from './jobs/job-requests.ts';
 import type { Quotas } from './quota/quotas.ts';
@@ -35,6 +36,7 @@
   readonly watchCache: WatchCache;
   readonly jobRequests: JobRequests;
   readonly jobCompletion: JobCompletion;
+  readonly finalRecords: FinalRecordReader;
   readonly failingJobs: FailingJobs;
   readonly quotas: Quotas;
 }
@@ -93,6 +95,7 @@
       case 'job':
         if (change.record) return this.onOpenJob(change.id, change.record, version);
         this.context.deletedJobs.add(change.id, this.context.watchCache.currentRevision);
+        this.context.finalRecords.onDeleted(change.id);
         return this.onJobOver(change.id, openJobs.remove(change.id));
       case 'quota':
         quotas.set(change.team, change.record);
--- a/packages/scheduler/src/protocol/peer-messages.ts
+++ b/packages/scheduler/src/protocol/peer-messages.ts
@@ -90,6 +90,14 @@
   revision: Revision | null;
 }
 
+/** Jobs whose completion is committed. A completion is final, so a late message is still true. */
+export interface JobsDone {
+  kind: 'jobsDone';
+  jobIds: JobId[];
+  /** Revision of the final records. */
+  revision: Revision;
+}
+
 /** Asks for the receiver's observation of these jobs, for a unanimous read. */
 export interface ObservationRequest {
   kind: 'observationRequest';
@@ -148,6 +156,7 @@
   | Handover
   | Keepalive
   | JobsCancelled
+  | JobsDone
   | ObservationRequest
   | ObservationReply
   | ForwardedRequest
--- a/packages/scheduler/test/jobs.test.ts
+++ b/packages/scheduler/test/jobs.test.ts
@@ -1,14 +1,22 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { FINISHED_JOBS_CACHED, TASK_RETRY_MAX_MS, TASK_RETRY_MS } from '../src/constants.ts';
+import {
+  FINAL_RECORD_GRACE_MS,
+  FINAL_RECORD_READS,
+  FINAL_RECORDS_MISSING_MAX,
+  FINISHED_JOBS_CACHED,
+  TASK_RETRY_MAX_MS,
+  TASK_RETRY_MS,
+} from '../src/constants.ts';
 import { FailingJobBackoff } from '../src/coordination/jobs/failing-job-backoff.ts';
+import { FinalRecordReader } from '../src/coordination/jobs/final-record-reader.ts';
 import { FinishedJobs } from '../src/coordination/jobs/finished-jobs.ts';
 import { assignToShards, NoCandidateShard } from '../src/coordination/jobs/shard-assignment.ts';
 import { shardMap } from '../src/coordination/leadership/shard-map.ts';
 import { ShardLoads } from '../src/coordination/scheduling/shard-loads.ts';
 import { sliceCapacity } from '../src/storage/records.ts';
 import { seededRandom } from '../src/transport/random.ts';
-import { FakeClock } from './support/fakes.ts';
+import { FakeClock, silentLog } from './support/fakes.ts';
 import { jobSpec } from './support/job-spec.ts';
 
 describe('assignment of tasks to shards', () => {
@@ -65,6 +73,48 @@
   });
 });
 
+describe('final records', () => {
+  const start = (): { reader: FinalRecordReader; clock: FakeClock; known: Set<string>; reads: string[] } => {
+    const clock = new FakeClock();
+    const known = new Set<string>();
+    const reads: string[] = [];
+    const reader = new FinalRecordReader({
+      clock,
+      log: silentLog,
+      isFinished: (job) => known.has(job),
+      read: (job) => {
+        reads.push(job);
+        if (reads.length === 1) return Promise.reject(new Error('no answer'));
+        return Promise.resolve({ status: 'cancelled', revision: 3 });
+      },
+      onRead: (job) => known.add(job),
+    });
+    return { reader, clock, known, reads };
+  };
+
+  // Guards against an end that no controller knows in an outage (docs/incidents/forgotten-ends.md).
+  it('are read if no peer has reported the end in time, and again after a failure', async () => {
+    const { reader, clock, known, reads } = start();
+    for (const job of ['j-1', 'j-2']) reader.onDeleted(job);
+    known.add('j-2');
+    await reader.readMissing();
+    assert.deepEqual(reads, []);
+    await clock.advance(FINAL_RECORD_GRACE_MS);
+    for (let turn = 0; turn < 3; turn++) await reader.readMissing();
+    assert.deepEqual(reads, ['j-1', 'j-1']);
+    assert.ok(known.has('j-1'));
+  });
+
+  it('are dropped oldest first beyond their bound, and read a few at a time', async () => {
+    const { reader, clock, reads } = start();
+    for (let n = 0; n <= FINAL_RECORDS_MISSING_MAX; n++) reader.onDeleted(`j-${String(n)}`);
+    await clock.advance(FINAL_RECORD_GRACE_MS);
+    await reader.readMissing();
+    assert.equal(reads.length, FINAL_RECORD_READS);
+    assert.equal(reads[0], 'j-1');
+  });
+});
+
 describe('finished jobs', () => {
   it('are evicted oldest first', () => {
     const finished = new FinishedJobs();
