Migrate tasks that no machine of their shard may run, whether or not quota is lacking

Cause: a scheduling round looked for a machine only if the team's share allowed the task, and counted a slice that lacked quota as one that had found room. Shard b.0 has only spot machines, which the job does not allow. Each half second its share grew by 3 CPUs, the round found no machine, the demand went to 0, and the share was given away. `unplaceableSince` was 0 to 0.2 s each time that it was looked at, so the tasks never migrated (after 2 s).

Fix: tasks that no machine of the shard may run count as finding none whether or not quota is lacking. They migrate and wait for quota where they can use it.

--- a/packages/emulator/test/explorer-digests.test.ts
+++ b/packages/emulator/test/explorer-digests.test.ts
@@ -20,7 +20,7 @@
     'storm',
     [
       '9d3f72ed941b55c9d080ae5a750263d1498986f68e83995a703c1f3e3e9b7d4a',
-      'e385926757e9ef589152fd78a44aab78c345a0243cd02c0bb379cc788ddd5b53',
+      'b113745ac12ecb3461889afa09208ce474e51f16fe550df71dffe3695ca5c4cb',
     ],
   ],
   [
@@ -34,7 +34,7 @@
     'meetings',
     [
       'ef74b9a6706c3f91231a6bad1182a1d4ed0178b907f015b0f28ebd4857976ef7',
-      'b19be701106323a8ff7f3e247b097b566a414568b7a760e4cfcefe0bbe6de417',
+      '936851c47a20b6c1be854c7796329e2d42e009c47089bdf838b48faab12ddc0a',
     ],
   ],
 ];
@@ -56,7 +56,7 @@
     );
     assert.equal(
       runDigest(digests.flatMap(([, each]) => each)),
-      '9f4805a0f77da35dc9ab7a0b9640a3a6fa746c9a2b7b7cf9197c6624cc7a4fa9',
+      '56afb3a66f93717a563ea49718c068ff7c9fbd8c8198312a71ce4cec5a1be168',
     );
   });
 });
--- a/packages/emulator/test/idle-wait-scenarios.ts
+++ b/packages/emulator/test/idle-wait-scenarios.ts
@@ -207,6 +207,83 @@
   return idleWaitViolations(cluster, 150);
 }
 
+/**
+ * Five shards, and a team near its limit: a task of 8 CPUs runs, the rest of 3 CPUs is too small for any of the
+ * other large tasks.
+ */
+async function startNearLimit(seed: number, teams: string[] = []): Promise<ScenarioCluster> {
+  const shards = 5;
+  const cluster = new ScenarioCluster(
+    {
+      zones: ['a'],
+      nodes: Array.from({ length: shards }, () => 'a'),
+      initial: [smallMachines('a', 4 * shards), { type: 'large', zone: 'a', spot: false, count: 1 }],
+      teams: [
+        { name: 'red', cores: 8, maxCores: 11 },
+        ...teams.map((name) => ({ name, cores: 8, maxCores: 0 })),
+      ],
+    },
+    undefined,
+    seed,
+  );
+  await cluster.begin();
+  const isFirstRunning = (): boolean => cluster.checker.runningTasks('j-0').length === 1;
+  cluster.submit({ id: 'j-0', tasks: 1, cores: 8, types: ['small'] }, longRunS);
+  await cluster.until('the first large task runs', isFirstRunning, 120);
+  return cluster;
+}
+
+/** Submits large tasks that stay pending in all shards, since their team's rest is too small for them. */
+async function submitLargeTasks(cluster: ScenarioCluster): Promise<void> {
+  for (let n = 1; n <= 20; n++)
+    cluster.submit({ id: `j-${String(n)}`, tasks: 1, cores: 8, types: ['small'] }, longRunS);
+  await cluster.run(40);
+}
+
+/**
+ * Guards against `idle_wait` of seed 1, run 57 of `storm`: a shard has no machine that a job is allowed on, and
+ * its share of the team's quota goes back and forth. Another shard has an idle machine for the job, and the
+ * rest of the quota suffices for its tasks. They must migrate in time.
+ */
+async function noMachineAndNoQuota(seed: number): Promise<Violation[]> {
+  const cluster = await startNearLimit(seed);
+  await submitLargeTasks(cluster);
+  const job = 'j-1000';
+  cluster.submit({ id: job, tasks: 3, cores: 1, types: ['large'] }, longRunS);
+  await cluster.run(1);
+  const large = [...cluster.workers.values()].find((worker) => worker.machine.type.name === 'large');
+  const withoutMachine = cluster
+    .slicesOf(job)
+    .filter(({ part, count }) => count > 0 && !cluster.machinesOf(part).includes(large?.id ?? ''));
+  requirePrecondition('tasks in a shard without a machine for them', withoutMachine.length > 0);
+  return idleWaitViolations(cluster, 150);
+}
+
+/**
+ * The machines of all shards but one are full instead of missing: they run long tasks of another team.
+ */
+async function noRoomAndNoQuota(seed: number): Promise<Violation[]> {
+  const cluster = await startNearLimit(seed, ['blue']);
+  cluster.submit({ id: 'j-500', team: 'blue', tasks: 19, cores: 8, types: ['small'] }, longRunS);
+  const areAllFull = (): boolean => cluster.checker.runningTasks('j-500').length === 19;
+  await cluster.until('all small machines are full', areAllFull, 90);
+  await submitLargeTasks(cluster);
+  const job = 'j-1000';
+  cluster.submit({ id: job, tasks: 5, cores: 0.5, types: ['small'] }, longRunS);
+  await cluster.run(5);
+  const [freed = ''] = cluster.shards.filter((shard) => cluster.machinesOf(shard).length >= 3);
+  const machines = cluster.machinesOf(freed);
+  for (const id of machines) cluster.workers.get(id)?.completeTasks((task) => task.startsWith('j-500/'));
+  await cluster.run(1);
+  const inFullShards = cluster.slicesOf(job).filter(({ part, count }) => count > 0 && part !== freed);
+  requirePrecondition('tasks in shards without room', inFullShards.length > 0);
+  requirePrecondition(
+    'a shard with room',
+    machines.some((id) => cluster.workers.get(id)?.freeCapacity().cores === 8),
+  );
+  return idleWaitViolations(cluster, 150);
+}
+
 export const idleWaitScenarios: Record<string, ScriptedScenario> = {
   'a shard full of long tasks, next to one with free capacity on busy machines': pendingTasksOfFullShard,
   'one-zone jobs whose zone loses all its machines': () => zoneLost({ oneZone: true }),
@@ -225,4 +302,11 @@
     ]),
   ),
   'a team limit of one task in five shards': limitInFiveShards,
+  ...Object.fromEntries(
+    [1, 2, 3].map((seed): [string, ScriptedScenario] => [
+      `tasks without a machine in their shard, their team near its limit, seed ${String(seed)}`,
+      () => noMachineAndNoQuota(seed),
+    ]),
+  ),
+  'tasks without room in their shard, their team near its limit': () => noRoomAndNoQuota(1),
 };
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -346,6 +346,15 @@
     put: 'machine.unreconciled',
     detectedBy: { scenario: 'workers that the new leader cannot reach' },
   },
+  {
+    name: 'tasks that no machine of their shard may run do not migrate while quota is lacking',
+    file: 'coordination/scheduling/scheduling-round.ts',
+    find: "if (reason !== 'quota') return reason === 'capacity';",
+    put: "if (reason !== '') return reason === 'capacity';",
+    detectedBy: {
+      scenario: 'tasks without a machine in their shard, their team near its limit, seed 1',
+    },
+  },
   {
     name: 'a unanimous read accepts a node without the record, whatever its earlier processes reported',
     file: 'coordination/leadership/unanimous-read.ts',
--- a/packages/scheduler/src/coordination/scheduling/scheduling-round.ts
+++ b/packages/scheduler/src/coordination/scheduling/scheduling-round.ts
@@ -3,13 +3,14 @@
  */
 import type { Machine } from '../../storage/machine.ts';
 import type { QuotaAmounts } from '../../storage/records.ts';
+import { fits } from '../../storage/resources.ts';
 import type { Slice } from '../../storage/slice.ts';
 import type { JobSpec } from '../../protocol/users.ts';
 import type { TeamUsage } from '../quota/team-usage.ts';
 import type { ShardContext } from '../shard-context.ts';
 import type { IdleList } from './idle-list.ts';
 import type { LowPriorityThrottle } from './low-priority-throttle.ts';
-import { maxInZone } from './placement-constraints.ts';
+import { allowsMachine, maxInZone } from './placement-constraints.ts';
 import { MachineChooser } from './placement-policy.ts';
 import { RoundPreemption } from './preemption.ts';
 import { hasFreeCores } from './schedulable-machines.ts';
@@ -50,6 +51,13 @@
   readonly throttle: LowPriorityThrottle;
 }
 
+/**
+ * Why tasks of a slice are left pending by a round. `capacity`: no machine has capacity for them. `quota`: the
+ * team's share in the shard does not allow them. `other`: they are held back for another reason, or none is
+ * left.
+ */
+type PendingReason = 'capacity' | 'quota' | 'other';
+
 /** The inputs of one round. */
 export interface RoundInputs {
   /** The machines that may be given tasks now. */
@@ -60,10 +68,16 @@
   readonly scope: RoundScope;
 }
 
+/** Whether the machine could run a task of the job if nothing else ran on it. */
+function mayRun(spec: JobSpec, machine: Machine): boolean {
+  return machine.type !== null && fits(spec, machine.type) && allowsMachine(spec, machine);
+}
+
 /** One scheduling round; to be run once. */
 export class SchedulingRound {
   private readonly now: number;
   private readonly scope: RoundScope;
+  private readonly machines: readonly Machine[];
   private readonly machinesWithCapacity: Machine[];
   private readonly candidates: Set<Machine>;
   /** The teams' usage, including the tasks that this round has started. */
@@ -81,6 +95,7 @@
     this.now = now;
     this.scope = scope;
     const { context, shard, throttle } = collaborators;
+    this.machines = machines;
     this.machinesWithCapacity = machines.filter(hasFreeCores);
     this.candidates = new Set(this.machinesWithCapacity);
     this.usages = shard.usage.usages();
@@ -96,35 +111,32 @@
       // A job that fails wherever it runs is still tried, one task at a time.
       const isFailing = failingJobs.isFailing(slice.spec.id);
       if (isFailing && !failingJobs.mayAttempt(slice.spec.id, this.now)) continue;
-      const unplaced = this.startTasks(slice, isFailing);
-      this.updateUnplaceableSince(slice, unplaced, isFailing);
-      if (unplaced > 0 && !isFailing) this.preemptFor(slice, unplaced);
+      const reason = this.startTasks(slice, isFailing);
+      this.updateUnplaceableSince(slice, reason, isFailing);
+      if (reason === 'capacity' && !isFailing) this.preemptFor(slice, slice.pending.length);
     }
     return this.machinesWithCommands;
   }
 
-  /**
-   * Starts as many pending tasks of the slice as possible. Returns how many found no machine; tasks that wait
-   * for another reason, such as the quota, do not count.
-   */
-  private startTasks(slice: Slice, isFailing: boolean): number {
+  /** Starts as many pending tasks of the slice as possible. Returns why the others are left pending. */
+  private startTasks(slice: Slice, isFailing: boolean): PendingReason {
     const { spec } = slice;
     const { context, throttle } = this.collaborators;
     let chooser: MachineChooser | null = null;
     let remainingStarts = spec.spread ? maxInZone(spec) - this.tasksPossiblyPlaced(spec.id) : Infinity;
     while (slice.pending.length > 0) {
-      if (!this.isWithinQuota(slice, isFailing)) break;
+      if (!this.isWithinQuota(slice, isFailing)) return 'quota';
       // Tasks are left pending here only if the whole spread job must be in one zone: then this shard has all
       // of its tasks, but may run only half of them at a time.
       if (remainingStarts <= 0) break;
       if (throttle.blocks(spec, this.isLowPriorityOnHold)) break;
-      if (chooser === null && this.unplaceable.covers(spec)) return slice.pending.length;
+      if (chooser === null && this.unplaceable.covers(spec)) return 'capacity';
       chooser ??= this.chooserFor(spec);
       const machine = chooser.next(context.random);
       const position = machine ? slice.pending.pop() : undefined;
       if (!machine || position === undefined) {
         this.unplaceable.add(spec);
-        return slice.pending.length;
+        return 'capacity';
       }
       this.startTask(machine, slice, position);
       remainingStarts--;
@@ -133,7 +145,7 @@
         break;
       }
     }
-    return 0;
+    return 'other';
   }
 
   /**
@@ -179,18 +191,28 @@
    * Updates the time since which the slice's tasks find no machine. A round over one machine may reset this
    * time but never sets it, because other machines may have capacity.
    */
-  private updateUnplaceableSince(slice: Slice, unplaced: number, isFailing: boolean): void {
+  private updateUnplaceableSince(slice: Slice, reason: PendingReason, isFailing: boolean): void {
     const isWholeShard = this.scope !== 'machine';
-    if (slice.pending.length === 0 || (isWholeShard && unplaced === 0)) {
+    if (slice.pending.length > 0 && !isWholeShard) return;
+    if (slice.pending.length === 0 || !this.isUnplaceable(slice, reason)) {
       slice.unplaceableSince = Infinity;
       return;
     }
-    if (!isWholeShard) return;
-    if (slice.unplaceableSince === Infinity && !isFailing)
+    if (reason === 'capacity' && slice.unplaceableSince === Infinity && !isFailing)
       this.collaborators.throttle.beginHoldFor(slice.spec, this.now);
     slice.unplaceableSince = Math.min(slice.unplaceableSince, this.now);
   }
 
+  /**
+   * Whether the slice's pending tasks find no machine. Tasks that lack quota find none if no machine of the
+   * shard may run them. Quota may come and go much faster than tasks migrate, so lacking it must not reset the
+   * time since which such tasks find no machine.
+   */
+  private isUnplaceable(slice: Slice, reason: PendingReason): boolean {
+    if (reason !== 'quota') return reason === 'capacity';
+    return !this.machines.some((machine) => mayRun(slice.spec, machine));
+  }
+
   /**
    * Preempts tasks of lower priority for the slice's tasks that found no machine, as far as the team's share
    * allows.
--- a/packages/scheduler/src/storage/slice.ts
+++ b/packages/scheduler/src/storage/slice.ts
@@ -51,8 +51,9 @@
   /** Failures of its tasks so far; the backoff of the next one depends on it. */
   failures = 0;
   /**
-   * Since when scheduling rounds have found no room for the pending tasks, in milliseconds of the clock.
-   * Infinite while they find room, and while only the team's quota is lacking.
+   * Since when scheduling rounds have found no room for the pending tasks, in milliseconds of the clock,
+   * whether or not the team's quota is lacking too. Infinite while they find room, and while only the quota is
+   * lacking.
    */
   unplaceableSince = Infinity;
   /**
