Answer with the number of done tasks for an end that is known without a read

Callers saw: `done` 0 for a job whose state is `done`, at every poll but the first at a node, and with the notices of the commits before at the first one too. PROTOCOL gives the field for display, and it should say what happened.

Cause: the cache of ended jobs kept the state only.

Test: "answers 503 at once ... still answers for cached finished jobs" asserts the number; it failed before. The wire record is recorded anew: the answers to polls and the notices (users and mesh); entries per channel are as before.

--- a/packages/scheduler/src/coordination/jobs/final-record-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/final-record-reader.ts
@@ -8,9 +8,11 @@
 import type { Log } from '../../transport/log.ts';
 import type { FinalStatus } from './finished-jobs.ts';
 
-/** A job's final status, and the revision of its final record. */
+/** How a job ended, and the revision of its final record. */
 export interface FinalRecord {
   readonly status: FinalStatus;
+  /** Number of tasks of the job. */
+  readonly tasks: number;
   readonly revision: Revision;
 }
 
--- a/packages/scheduler/src/coordination/jobs/finished-jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/finished-jobs.ts
@@ -9,6 +9,8 @@
   readonly status: FinalStatus;
   /** Revision of the final record; null if it is not known. */
   readonly revision: Revision | null;
+  /** Number of tasks of the job; 0 if it is not known. */
+  readonly tasks: number;
 }
 
 /**
@@ -29,6 +31,12 @@
     return this.jobs.has(jobId);
   }
 
+  /** How many of the job's tasks are done, for display; 0 if the number is not known. */
+  doneTasks(jobId: string): number {
+    const job = this.jobs.get(jobId);
+    return job?.status === 'done' ? job.tasks : 0;
+  }
+
   /** The revision of the job's final record; null if it is not known. */
   revision(jobId: string): Revision | null {
     return this.jobs.get(jobId)?.revision ?? null;
@@ -40,8 +48,13 @@
   }
 
   /** Records a job's final status. Must not be called before the final record is committed. */
-  add(jobId: string, status: FinalStatus, revision: Revision | null = null): void {
-    this.jobs.set(jobId, { status, revision: revision ?? this.jobs.get(jobId)?.revision ?? null });
+  add(jobId: string, status: FinalStatus, revision: Revision | null = null, tasks = 0): void {
+    const known = this.jobs.get(jobId);
+    this.jobs.set(jobId, {
+      status,
+      revision: revision ?? known?.revision ?? null,
+      tasks: tasks === 0 ? (known?.tasks ?? 0) : tasks,
+    });
     if (this.jobs.size > FINISHED_JOBS_CACHED) this.evictOldest();
   }
 
--- a/packages/scheduler/src/coordination/jobs/job-completion.ts
+++ b/packages/scheduler/src/coordination/jobs/job-completion.ts
@@ -19,8 +19,8 @@
   readonly openJobs: OpenJobs;
   /** Whether this node leads the shard. */
   readonly leads: (shard: string) => boolean;
-  /** Called once the job's final record is committed, at this revision. */
-  readonly onDone: (jobId: string, revision: Revision) => void;
+  /** Called once the final record of a job with this number of tasks is committed, at this revision. */
+  readonly onDone: (jobId: string, revision: Revision, tasks: number) => void;
 }
 
 /** The lane of a job's final write, by the job's priority. Low priority yields to users' requests. */
@@ -102,7 +102,7 @@
     const { id, record } = job;
     try {
       const result = await this.writeFinalRecord(job, lane);
-      if (result.kind === 'committed') onDone(id, result.revision);
+      if (result.kind === 'committed') onDone(id, result.revision, record.spec.tasks);
       const { class: jobClass, estimateS, tasks } = record.spec;
       const durationMs = wallClock() - record.at;
       log.debug(
--- a/packages/scheduler/src/coordination/jobs/job-requests.ts
+++ b/packages/scheduler/src/coordination/jobs/job-requests.ts
@@ -17,7 +17,7 @@
 import type { ShardMap } from '../leadership/shard-map.ts';
 import type { ShardLoads } from '../scheduling/shard-loads.ts';
 import type { FinalRecord } from './final-record-reader.ts';
-import { type FinalStatus, FinishedJobs } from './finished-jobs.ts';
+import { FinishedJobs } from './finished-jobs.ts';
 import { JobCancellation } from './job-cancellation.ts';
 import { JobStateReader, type OpenJobLookup, viewAnswer } from './job-state-reader.ts';
 import { JobSubmission } from './job-submission.ts';
@@ -58,12 +58,6 @@
   return error instanceof RequestRejected || error instanceof NoAnswer;
 }
 
-/** The answer for a finished job. The count of done tasks is not known without a read, and is given as 0. */
-function finalAnswer(operation: UserOperation, id: string, status: FinalStatus): UserAnswer {
-  if (operation !== 'status') return { status: 200, body: encodeState(id, status) };
-  return viewAnswer({ id, status, done: 0, running: 0 });
-}
-
 /**
  * Executes users' requests. The body of a submission is the job's specification, that of every other request
  * is the job's id.
@@ -128,17 +122,25 @@
   }
 
   /**
-   * Caches the final status of a job whose final record this node or a peer has committed. `revision` is that
-   * of the final record; null if it is not known.
+   * Caches that a job is cancelled, as this node or a peer has committed it. `revision` is that of the final
+   * record; null if it is not known.
    */
-  recordFinalStatus(jobId: string, status: FinalStatus, revision: Revision | null): void {
-    this.finishedJobs.add(jobId, status, revision);
+  recordCancelled(jobId: string, revision: Revision | null): void {
+    this.finishedJobs.add(jobId, 'cancelled', revision);
+  }
+
+  /** Caches that a job with this number of tasks is done, as this node or a peer has committed it. */
+  recordDone(jobId: string, revision: Revision, tasks: number): void {
+    this.finishedJobs.add(jobId, 'done', revision, tasks);
   }
 
   /** The answer to a request for a job whose final status is cached; null for any other job. */
   private knownAnswer(operation: UserOperation, jobId: string): UserAnswer | null {
-    const finalStatus = this.finishedJobs.get(jobId);
-    return finalStatus ? finalAnswer(operation, jobId, finalStatus) : null;
+    const { finishedJobs } = this;
+    const status = finishedJobs.get(jobId);
+    if (!status) return null;
+    if (operation !== 'status') return { status: 200, body: encodeState(jobId, status) };
+    return viewAnswer({ id: jobId, status, done: finishedJobs.doneTasks(jobId), running: 0 });
   }
 
   private execute(operation: UserOperation, body: JobSpec | string): Promise<UserAnswer> {
--- a/packages/scheduler/src/coordination/jobs/job-state-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/job-state-reader.ts
@@ -80,14 +80,14 @@
   /** The job's final record; null if there is none. Does not delay the requests of users. */
   async readFinalRecord(jobId: string): Promise<FinalRecord | null> {
     const entry = await this.context.store.get(jobKey(jobId), 'background');
-    return entry && { status: decodeJob(entry.value).status, revision: entry.version };
+    return entry && { ...decodeJob(entry.value), revision: entry.version };
   }
 
   private async readFinished(jobId: string): Promise<JobState | null> {
     const entry = await this.context.store.get(jobKey(jobId), 'user');
     if (!entry) return null;
     const job = decodeJob(entry.value);
-    this.context.finishedJobs.add(jobId, job.status, entry.version);
+    this.context.finishedJobs.add(jobId, job.status, entry.version, job.tasks);
     return job;
   }
 
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -225,8 +225,8 @@
       log,
       isFinished: (job) => jobRequests.isFinished(job),
       read: (job) => jobRequests.readFinalRecord(job),
-      onRead: (job, { status, revision }) => {
-        if (status === 'done') this.announceCompletion(job, revision);
+      onRead: (job, { status, revision, tasks }) => {
+        if (status === 'done') this.announceCompletion(job, revision, tasks);
         else this.announceCancellation(job, revision);
       },
     });
@@ -239,9 +239,9 @@
   }
 
   /** The job's completion is committed: all peers are notified, so that any of them can answer its user. */
-  private announceCompletion(job: string, revision: Revision): void {
-    this.jobRequests.recordFinalStatus(job, 'done', revision);
-    this.peers.broadcast({ kind: 'jobsDone', jobIds: [job], revision });
+  private announceCompletion(job: string, revision: Revision, tasks: number): void {
+    this.jobRequests.recordDone(job, revision, tasks);
+    this.peers.broadcast({ kind: 'jobDone', jobId: job, revision, tasks });
   }
 
   private createJobCompletion(): JobCompletion {
@@ -253,7 +253,7 @@
       store,
       openJobs,
       leads: (shard) => ledShards.get(shard) !== undefined,
-      onDone: (job, revision) => this.announceCompletion(job, revision),
+      onDone: (job, revision, tasks) => this.announceCompletion(job, revision, tasks),
     });
   }
 
--- a/packages/scheduler/src/coordination/peer-message-dispatcher.ts
+++ b/packages/scheduler/src/coordination/peer-message-dispatcher.ts
@@ -52,9 +52,8 @@
         return ledShards.onHandover(message);
       case 'jobsCancelled':
         return message.jobIds.forEach((job) => dispatcher.onJobCancelled(job, message.revision));
-      case 'jobsDone':
-        for (const job of message.jobIds) jobRequests.recordFinalStatus(job, 'done', message.revision);
-        return;
+      case 'jobDone':
+        return jobRequests.recordDone(message.jobId, message.revision, message.tasks);
       case 'observationRequest':
         return unanimousRead.onRequest(from, message);
       case 'observationReply':
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -110,7 +110,7 @@
    * of the final record; null if it is not known.
    */
   onJobCancelled(id: string, revision: ExactInteger | null): void {
-    this.context.jobRequests.recordFinalStatus(id, 'cancelled', revision);
+    this.context.jobRequests.recordCancelled(id, revision);
     this.onJobOver(id, this.context.openJobs.close(id));
   }
 
--- a/packages/scheduler/src/protocol/peer-message-codec.ts
+++ b/packages/scheduler/src/protocol/peer-message-codec.ts
@@ -46,7 +46,7 @@
     jobs: z.array(z.string()),
     revision: z.optional(exactInteger),
   }),
-  z.object({ kind: z.literal('done'), jobs: z.array(z.string()), revision: exactInteger }),
+  z.object({ kind: z.literal('done'), job: z.string(), revision: exactInteger, tasks: z.number() }),
   z.object({ kind: z.literal('vouch'), id: z.string(), jobs: z.array(z.string()) }),
   z.object({
     kind: z.literal('vouched'),
@@ -97,8 +97,8 @@
         jobs: message.jobIds,
         ...(message.revision === null ? {} : { revision: message.revision }),
       };
-    case 'jobsDone':
-      return { kind: 'done', jobs: message.jobIds, revision: message.revision };
+    case 'jobDone':
+      return { kind: 'done', job: message.jobId, revision: message.revision, tasks: message.tasks };
     case 'observationRequest':
       return { kind: 'vouch', id: message.requestId, jobs: message.jobIds };
     case 'observationReply':
@@ -166,7 +166,7 @@
     case 'cancelled':
       return { kind: 'jobsCancelled', jobIds: wire.jobs, revision: wire.revision ?? null };
     case 'done':
-      return { kind: 'jobsDone', jobIds: wire.jobs, revision: wire.revision };
+      return { kind: 'jobDone', jobId: wire.job, revision: wire.revision, tasks: wire.tasks };
     case 'vouch':
       return { kind: 'observationRequest', requestId: wire.id, jobIds: wire.jobs };
     case 'vouched':
--- a/packages/scheduler/src/protocol/peer-messages.ts
+++ b/packages/scheduler/src/protocol/peer-messages.ts
@@ -90,12 +90,14 @@
   revision: Revision | null;
 }
 
-/** Jobs whose completion is committed. A completion is final, so a late message is still true. */
-export interface JobsDone {
-  kind: 'jobsDone';
-  jobIds: JobId[];
-  /** Revision of the final records. */
+/** A job whose completion is committed. A completion is final, so a late message is still true. */
+export interface JobDone {
+  kind: 'jobDone';
+  jobId: JobId;
+  /** Revision of the final record. */
   revision: Revision;
+  /** Number of tasks of the job. */
+  tasks: number;
 }
 
 /** Asks for the receiver's observation of these jobs, for a unanimous read. */
@@ -156,7 +158,7 @@
   | Handover
   | Keepalive
   | JobsCancelled
-  | JobsDone
+  | JobDone
   | ObservationRequest
   | ObservationReply
   | ForwardedRequest
--- a/packages/scheduler/test/jobs.test.ts
+++ b/packages/scheduler/test/jobs.test.ts
@@ -85,7 +85,7 @@
       read: (job) => {
         reads.push(job);
         if (reads.length === 1) return Promise.reject(new Error('no answer'));
-        return Promise.resolve({ status: 'cancelled', revision: 3 });
+        return Promise.resolve({ status: 'cancelled', revision: 3, tasks: 1 });
       },
       onRead: (job) => known.add(job),
     });
@@ -138,10 +138,11 @@
     assert.equal(finished.evictedUpTo, Number.MAX_SAFE_INTEGER);
   });
 
-  it('keep the revision of a final record when the same end is learned again without it', () => {
+  it('keep what is known of an end when it is learned again without', () => {
     const finished = new FinishedJobs();
-    finished.add('j-1', 'cancelled', 5);
-    finished.add('j-1', 'cancelled');
+    finished.add('j-1', 'done', 5, 20);
+    finished.add('j-1', 'done');
     assert.equal(finished.revision('j-1'), 5);
+    assert.equal(finished.doneTasks('j-1'), 20);
   });
 });
--- a/packages/scheduler/test/support/wire-samples.ts
+++ b/packages/scheduler/test/support/wire-samples.ts
@@ -330,8 +330,8 @@
   cancelled: { kind: 'cancelled', jobs: ['j-1', 'j-2'] },
   'cancelled at a revision': { kind: 'cancelled', jobs: ['j-1'], revision: 83 },
   'cancelled, malformed': { kind: 'cancelled', jobs: 'j-1' },
-  done: { kind: 'done', jobs: ['j-1'], revision: 83 },
-  'done without a revision': { kind: 'done', jobs: ['j-1'] },
+  done: { kind: 'done', job: 'j-1', revision: 83, tasks: 20 },
+  'done without a revision': { kind: 'done', job: 'j-1', tasks: 20 },
   vouch: { kind: 'vouch', id: 'f00d/1', jobs: ['j-1'] },
   vouched: { kind: 'vouched', id: 'f00d/1', open: [['j-1', 5]], over: ['j-2'], none: [['j-3', 9]] },
   'vouched with versions above 2^53': {
--- a/packages/scheduler/test/user-api.test.ts
+++ b/packages/scheduler/test/user-api.test.ts
@@ -124,6 +124,7 @@
     assert.equal((await cluster.poll('a', 'j-9')).body['stato'], 'done');
     const atPeer = await cluster.poll('b', 'j-9');
     assert.equal(atPeer.body['stato'], 'done', 'a node that was notified of the end answers');
+    assert.equal(atPeer.body['done'], 3, 'with the number of tasks');
     assert.equal(
       (await cluster.poll('b', 'j-8')).status,
       503,
