--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -35,6 +35,33 @@
 const isOpenInStore = (cluster: ScenarioCluster, id: string): boolean =>
   cluster.store.read(`live/job/${id}`) !== undefined;
 
+/** A cancellation of `j-1` at node 0 is applied and not answered. */
+async function cancelWithoutAnswer(cluster: ScenarioCluster): Promise<void> {
+  cluster.store.transactionFaultFor = (keys): TransactionFault | null =>
+    keys.includes('job/j-1') ? { appliedAfterMs: 0, answered: false } : null;
+  void cluster.cancelAtNode('j-1', 0);
+  await cluster.until('the cancellation is applied', () => !isOpenInStore(cluster, 'j-1'), 5, 5);
+}
+
+interface IsolatedLeader {
+  cluster: ScenarioCluster;
+  /** The node that leads the shard of `j-1`. */
+  leader: number;
+  /** Ends the partition. */
+  heal: () => void;
+}
+
+/** The short job `j-1` runs, and the leader of its shard is partitioned from its peers. */
+async function startIsolatedLeader(): Promise<IsolatedLeader> {
+  const cluster = await startCluster();
+  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
+  await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
+  const leader = cluster.ownerOf(cluster.slicesOf('j-1')[0]?.part ?? '');
+  const leaderName = `node-${String(leader)}`;
+  const heal = cluster.network.startPartition('drop', (x, y) => x.name === leaderName && y.kind === 'node');
+  return { cluster, leader, heal };
+}
+
 /** Polls `j-1` at one node after the other. Returns how many polls were answered. */
 async function countAnswered(cluster: ScenarioCluster, nodes: number[]): Promise<number> {
   let answered = 0;
@@ -65,10 +92,7 @@
   cluster.submit({ id: 'j-1', tasks: 1, cores: 1 }, longRunS);
   await submitPolledJobs(cluster);
   await injectFault(cluster);
-  cluster.store.transactionFaultFor = (keys): TransactionFault | null =>
-    keys.includes('job/j-1') ? { appliedAfterMs: 0, answered: false } : null;
-  void cluster.cancelAtNode('j-1', 0);
-  await cluster.until('the cancellation is applied', () => !isOpenInStore(cluster, 'j-1'), 5, 5);
+  await cancelWithoutAnswer(cluster);
   await cluster.run(0.2);
   cluster.store.setOutage(true);
   await cluster.run(longOutageS);
@@ -84,12 +108,7 @@
  * have seen the open record deleted. Then the key-value store is down, and users ask all of them again.
  */
 async function completionToldBeforeRestart(): Promise<Violation[]> {
-  const cluster = await startCluster();
-  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
-  await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
-  const leader = cluster.ownerOf(cluster.slicesOf('j-1')[0]?.part ?? '');
-  const leaderName = `node-${String(leader)}`;
-  const heal = cluster.network.startPartition('drop', (x, y) => x.name === leaderName && y.kind === 'node');
+  const { cluster, leader, heal } = await startIsolatedLeader();
   await cluster.until('the job ends', () => !isOpenInStore(cluster, 'j-1'), 30, 5);
   await cluster.run(0.03);
   void cluster.queryNode('j-1', leader);
@@ -120,10 +139,7 @@
   const cluster = await startCluster();
   void cluster.submitToNode(0, { tasks: 1, cores: 1 }, longRunS);
   await submitPolledJobs(cluster);
-  cluster.store.transactionFaultFor = (keys): TransactionFault | null =>
-    keys.includes('job/j-1') ? { appliedAfterMs: 0, answered: false } : null;
-  void cluster.cancelAtNode('j-1', 0);
-  await cluster.until('the cancellation is applied', () => !isOpenInStore(cluster, 'j-1'), 5, 5);
+  await cancelWithoutAnswer(cluster);
   cluster.killController(0);
   cluster.startController(0, 50);
   await cluster.run(3);
@@ -141,12 +157,7 @@
  * at which a job's end is committed, and no peer receives the notice of the controller that committed it.
  */
 async function endKnownToOneNode(): Promise<Violation[]> {
-  const cluster = await startCluster();
-  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
-  await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
-  const leader = cluster.ownerOf(cluster.slicesOf('j-1')[0]?.part ?? '');
-  const leaderName = `node-${String(leader)}`;
-  const heal = cluster.network.startPartition('drop', (x, y) => x.name === leaderName && y.kind === 'node');
+  const { cluster, leader, heal } = await startIsolatedLeader();
   cluster.store.onPut = (key): void => {
     if (key === 'job/j-1') cluster.store.setOutage(true);
   };
