--- a/packages/emulator/test/explorer-digests.test.ts
+++ b/packages/emulator/test/explorer-digests.test.ts
@@ -13,28 +13,28 @@
     'small',
     [
       '888c989da75128ae24f319b331f6315d63a0d26ecadc3d1bd2f6e3d7c87898be',
-      'a4bfc9b585ec41310f0d182d0ec6aa6301533c6e9559eb92ba325709b9078b2e',
+      'ab1b730b468e11ff6604ee47b1a2299e6d07fe247d709d8384e5377fa99d09d5',
     ],
   ],
   [
     'storm',
     [
-      '9d3f72ed941b55c9d080ae5a750263d1498986f68e83995a703c1f3e3e9b7d4a',
-      'b113745ac12ecb3461889afa09208ce474e51f16fe550df71dffe3695ca5c4cb',
+      'da264e3a9f71610c89eaee0cdb292e128984df2d5ee368e588f2e208e668bc36',
+      '707786a0dc88ea1da76ebaa5455a609bc6c913408dadda8980e368b40a0be86c',
     ],
   ],
   [
     'strangers',
     [
-      'd0d74180c34d6e7cc614b1f12ef8158eb672f82cc4a9822879229e2e63bc8063',
-      'e979054fae9c33b147a3706f94521a8e10c039f1df19356b6e5eeaab58524b17',
+      '460833c18376a5aa7f20f9a7b1663fe1b4e492f1143bb33f26b1d8775856a120',
+      '7a453dbd4f50e89a8ede89b2996d7b32eb52c71622e3e4915f232e3799ae6969',
     ],
   ],
   [
     'meetings',
     [
-      'ef74b9a6706c3f91231a6bad1182a1d4ed0178b907f015b0f28ebd4857976ef7',
-      '936851c47a20b6c1be854c7796329e2d42e009c47089bdf838b48faab12ddc0a',
+      '9c9437c6c327a99e7b51e4994d409715d80185e3ca8f7054d592c37ea252ee06',
+      '57fd092874f9d5a3c5d3d4412394d7a3e96896cd0b41c516810be579b84c64c9',
     ],
   ],
 ];
@@ -56,7 +56,7 @@
     );
     assert.equal(
       runDigest(digests.flatMap(([, each]) => each)),
-      '56afb3a66f93717a563ea49718c068ff7c9fbd8c8198312a71ce4cec5a1be168',
+      '257ce1c3c3597e32c9d20e9357304d43f11475a88a061142059e82846d5f0e48',
     );
   });
 });
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -28,7 +28,13 @@
  * tasks that were cancelled long before.
  */
 async function firstHeartbeatResponse(): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, ...siteTimings.caalv, initial: smallMachines(6) });
+  // The third node reaches no worker. It acknowledges the end of the job.
+  const cluster = new ScenarioCluster({
+    zones: ['a', 'b'],
+    nodes: ['a', 'a', 'b'],
+    ...siteTimings.caalv,
+    initial: smallMachines(6),
+  });
   await cluster.begin();
   const [shard = ''] = cluster.ledShards(0);
   cluster.submit({ tasks: 24, cores: 2 }, longRunS);
@@ -37,8 +43,9 @@
   if (host) cluster.store.setRefused(host, true);
   const healPeerPartition = cluster.network.startPartition(
     'drop',
-    (x, y) => x.kind === 'node' && y.kind === 'node',
+    (x, y) => x.name === 'node-0' && y.kind === 'node',
   );
+  cluster.network.startPartition('drop', (x, y) => x.name === 'node-2' && y.kind === 'worker');
   const healWorkerPartition = cluster.network.startPartition(
     'drop',
     (x, y) => x.name === 'node-1' && y.kind === 'worker',
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -158,7 +158,7 @@
     file: 'coordination/jobs/job-state-reader.ts',
     find: 'await watchCache.confirmWithin(POLL_CONFIRM_MS);',
     put: 'true;',
-    detectedBy: { scenario: 'users query all nodes, the store refuses one of them' },
+    detectedBy: { scenario: 'users query all nodes' },
   },
   {
     name: 'a completion without a version precondition',
@@ -357,7 +357,7 @@
   },
   {
     name: 'a unanimous read accepts a node without the record, whatever its earlier processes reported',
-    file: 'coordination/leadership/unanimous-read.ts',
+    file: 'coordination/leadership/unreported-end.ts',
     find: "(observation.kind === 'none' && observation.forgottenEndsUpTo <= lastOpenAt)",
     put: "observation.kind === 'none'",
     detectedBy: { scenario: 'a cancellation missed by the leader, confirmed by a node that then restarts' },
@@ -372,10 +372,40 @@
   {
     name: 'a peer that knows the end of a job does not answer for the others',
     file: 'coordination/jobs/job-requests.ts',
-    find: "const known = this.knownAnswer(operation, typeof body === 'string' ? body : body.id);",
-    put: 'const known = null;',
+    find: 'if (known) return this.reportable(jobId, known);',
+    put: '',
     detectedBy: { scenario: 'a job whose end one node knows, polled at the others in a store outage' },
   },
+  {
+    name: 'a unanimous read never accepts a node that has read nothing since its start',
+    file: 'coordination/leadership/unreported-end.ts',
+    find: "observation.kind === 'unread' && observation.forgottenEndsUpTo <= lastOpenAt",
+    put: 'false',
+    detectedBy: { scenario: 'restarts in a store outage, with jobs polled throughout' },
+  },
+  {
+    name: 'a unanimous read that ignores that a majority may have known the end',
+    file: 'coordination/leadership/unreported-end.ts',
+    find: 'maxKnowing < majority &&',
+    put: '',
+    detectedBy: { scenario: 'a cancellation told by a majority whose nodes restart in a store outage' },
+  },
+  {
+    name: 'read leases that never expire',
+    file: 'coordination/leadership/peer-read-leases.ts',
+    find: 'return this.context.clock.now() - grantedAt >= READ_LEASE_MS;',
+    put: 'return grantedAt === -Infinity;',
+    detectedBy: { scenario: 'a completion told by a node that then restarts, in a store outage' },
+  },
+  {
+    name: 'an end reported before a majority knows it, while read leases are valid',
+    file: 'coordination/jobs/end-acknowledgements.ts',
+    find: 'return !end || this.clock.now() - end.learnedAt >= REPORT_WITHOUT_MAJORITY_MS;',
+    put: 'return true;',
+    detectedBy: {
+      scenario: 'a completion that a node has told nobody before it restarts in a store outage',
+    },
+  },
   {
     name: 'final records that no controller has reported are never read',
     file: 'coordination/controller.ts',
--- a/packages/emulator/test/recovery.test.ts
+++ b/packages/emulator/test/recovery.test.ts
@@ -270,6 +270,9 @@
   });
 });
 
+/** Seconds after which the read leases of a node that has ended have expired. */
+const READ_LEASE_S = 20;
+
 describe('polls while the key-value store is unreachable', () => {
   /**
    * Polls the job at the node. Returns the job's state, the HTTP status if it is not 200, or 'none' without
@@ -313,10 +316,22 @@
     assert.equal(await poll(world, 1, 'j-99'), 503);
   });
 
-  it('are rejected while a node that may have reported the end is down, or restarted without the store', async () => {
+  // Guards against polls that fail for the rest of an outage in which a node has restarted.
+  it('are answered after a restart within the read leases of the other nodes', async () => {
+    const world = await startOutage();
+    world.killController(2);
+    assert.equal(await poll(world, 0, 'j-1'), 503);
+    world.startController(2);
+    await world.run(5);
+    assert.equal(await poll(world, 0, 'j-1'), 'running');
+    assert.notEqual(await poll(world, 1, 'j-2'), 'running');
+  });
+
+  it('are rejected while a node that may have reported the end is down, or restarted later', async () => {
     const world = await startOutage();
     world.killController(2);
     assert.equal(await poll(world, 0, 'j-1'), 503);
+    await world.run(READ_LEASE_S);
     world.startController(2);
     await world.run(5);
     assert.equal(await poll(world, 0, 'j-1'), 503);
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -8,6 +8,8 @@
 } from './scripted-scenario.ts';
 
 const longRunS = 1000;
+/** Seconds after which a node reports an end although no majority is known to know it. */
+const reportWithoutMajorityS = 21;
 /** Seconds of an outage in which a job without any answer counts as forgotten. */
 const longOutageS = 115;
 const polledJobs = ['j-2', 'j-3', 'j-4'];
@@ -102,31 +104,129 @@
   return violationsAfterCompletion(cluster);
 }
 
-/**
- * Guards against an answer that is older than one given. A controller that its peers cannot reach completes a
- * job and tells the user. It restarts, and its new process sees only that there is no open record. The others
- * have seen the open record deleted. Then the key-value store is down, and users ask all of them again.
- */
-async function completionToldBeforeRestart(): Promise<Violation[]> {
-  const { cluster, leader, heal } = await startIsolatedLeader();
+/** The leader of `j-1`, isolated from its peers, completes the job while the store refuses the peers. */
+async function completeAtIsolatedLeader(): Promise<IsolatedLeader> {
+  const isolated = await startIsolatedLeader();
+  const { cluster, leader } = isolated;
+  setPeersRefused(cluster, leader, true);
   await cluster.until('the job ends', () => !isOpenInStore(cluster, 'j-1'), 30, 5);
   await cluster.run(0.03);
   void cluster.queryNode('j-1', leader);
-  await cluster.run(0.03);
-  requirePrecondition('the end is told', cluster.checker.finalState('j-1') === 'done');
+  await cluster.run(0.5);
+  return isolated;
+}
+
+/** The key-value store refuses all controllers but the leader, or serves them again. */
+function setPeersRefused(cluster: ScenarioCluster, leader: number, refused: boolean): void {
+  for (const node of [0, 1, 2]) {
+    const host = cluster.controllerHost(node);
+    if (node !== leader && host) cluster.store.setRefused(host, refused);
+  }
+}
+
+/** The leader restarts and reaches its peers again, while the key-value store is down for all. Users poll. */
+async function restartAndPollInOutage({ cluster, leader, heal }: IsolatedLeader): Promise<number> {
   cluster.killController(leader);
   heal();
   cluster.startController(leader, 20);
-  // The new process reads its watch cache, and the others have not read the final record yet.
+  // Time to read the watch cache, unless the key-value store is down already.
   await cluster.run(0.15);
   cluster.store.setOutage(true);
   await cluster.run(6);
-  for (let n = 0; n < 9; n++) {
-    void cluster.queryNode('j-1', n % 3);
-    await cluster.run(1);
+  const answered = await countAnswered(cluster, [0, 1, 2, 0, 1, 2, 0, 1, 2]);
+  cluster.store.setOutage(false);
+  setPeersRefused(cluster, leader, false);
+  await cluster.run(30);
+  return answered;
+}
+
+/**
+ * Guards against an answer that is older than one given. A controller that its peers cannot reach completes a
+ * job and, as no peer acknowledges the end, tells the user only after the read leases. It restarts. The others
+ * still see the job as open. Then the key-value store is down, and users ask all of them again. The new process
+ * sees only that there is no open record or, if it is `unread`, nothing at all.
+ */
+async function completionToldBeforeRestart({ unread }: { unread: boolean }): Promise<Violation[]> {
+  const isolated = await completeAtIsolatedLeader();
+  const { cluster, leader } = isolated;
+  requirePrecondition('the end is not told before', cluster.checker.finalState('j-1') === null);
+  await cluster.run(reportWithoutMajorityS);
+  void cluster.queryNode('j-1', leader);
+  await cluster.run(0.5);
+  requirePrecondition('the end is told', cluster.checker.finalState('j-1') === 'done');
+  if (unread) cluster.store.setOutage(true);
+  await restartAndPollInOutage(isolated);
+  return violationsAfterCompletion(cluster);
+}
+
+/**
+ * Guards against an older answer, and against polls that fail for a whole outage. A controller that its peers
+ * cannot reach completes a job. It restarts before it may tell the end, in an outage of the key-value store.
+ * The others show that it has told nobody.
+ */
+async function restartBeforeReport(): Promise<Violation[]> {
+  const isolated = await completeAtIsolatedLeader();
+  const { cluster, leader } = isolated;
+  cluster.store.setOutage(true);
+  const answered = await restartAndPollInOutage(isolated);
+  // The new process cannot show the job's state.
+  if (answered < 6) cluster.checker.reportViolation('forgotten', ['j-1', answered], 'polls not answered');
+  await countAnswered(cluster, [leader]);
+  return violationsAfterCompletion(cluster);
+}
+
+/**
+ * Guards against `forgotten` of seed 21, runs 388 and 469 of `returns`: a controller restarts in an outage of
+ * the key-value store, twice. Its new process can read nothing. Users poll throughout the outage.
+ */
+async function restartsInOutage(): Promise<Violation[]> {
+  const cluster = await startCluster();
+  cluster.submit({ id: 'j-1', tasks: 1, cores: 1 }, longRunS);
+  await submitPolledJobs(cluster);
+  cluster.store.setOutage(true);
+  for (const backMs of [50, 9000]) {
+    await cluster.run(3);
+    cluster.killController(1);
+    await cluster.run(backMs / 1000);
+    cluster.startController(1, 50);
+    await cluster.run(2);
+    const answered = await countAnswered(cluster, [0, 2]);
+    if (answered < 2) cluster.checker.reportViolation('forgotten', ['j-1', answered], 'polls not answered');
   }
+  await cluster.run(longOutageS);
+  await endOutage(cluster);
+  void cluster.users.cancelIfAccepted('j-1');
+  await cluster.run(60);
+  return violationsAfterCompletion(cluster);
+}
+
+/**
+ * Guards against an answer that is older than one given. A cancellation is told once a majority knows it. The
+ * nodes of that majority restart in an outage of the key-value store, within the read leases of the node that
+ * has missed the end.
+ */
+async function restartOfMajority(): Promise<Violation[]> {
+  const cluster = await startCluster();
+  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, longRunS);
+  await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
+  const host = cluster.controllerHost(0);
+  if (host) cluster.store.setRefused(host, true);
+  const heal = cluster.network.startPartition('drop', (x, y) => x.name === 'node-0' && y.kind === 'node');
+  await cluster.run(0.5);
+  void cluster.cancelAtNode('j-1', 1);
+  await cluster.run(0.5);
+  requirePrecondition('the end is told', cluster.checker.finalState('j-1') === 'cancelled');
+  cluster.store.setOutage(true);
+  for (const node of [1, 2]) {
+    cluster.killController(node);
+    cluster.startController(node, 20);
+  }
+  heal();
+  await cluster.run(3);
+  await countAnswered(cluster, [0, 1, 2, 0, 1, 2]);
   cluster.store.setOutage(false);
-  await cluster.run(20);
+  if (host) cluster.store.setRefused(host, false);
+  await cluster.run(30);
   return violationsAfterCompletion(cluster);
 }
 
@@ -164,9 +264,12 @@
   await cluster.until('the job ends', () => !isOpenInStore(cluster, 'j-1'), 30, 5);
   await cluster.run(0.1);
   heal();
+  const others = [0, 1, 2].filter((node) => node !== leader);
+  const [first = 0] = others;
+  if ((await countAnswered(cluster, [first])) < 1)
+    cluster.checker.reportViolation('forgotten', ['j-1', first], 'the first poll not answered');
   await cluster.run(6);
   requirePrecondition('one node knows the end', (await countAnswered(cluster, [leader])) === 1);
-  const others = [0, 1, 2].filter((node) => node !== leader);
   const answered = await countAnswered(cluster, others);
   if (answered < 2) cluster.checker.reportViolation('forgotten', ['j-1', answered], 'polls not answered');
   cluster.store.setOutage(false);
@@ -186,7 +289,13 @@
   'an unanswered cancellation, then a store outage for all nodes': () => unansweredCancellation(),
   'a restart, an unanswered cancellation, then a store outage for all nodes': () =>
     unansweredCancellation(restartSecondController),
-  'a completion told by a node that then restarts, before a store outage': completionToldBeforeRestart,
+  'a completion told by a node that then restarts, before a store outage': () =>
+    completionToldBeforeRestart({ unread: false }),
+  'a completion told by a node that then restarts, in a store outage': () =>
+    completionToldBeforeRestart({ unread: true }),
+  'a completion that a node has told nobody before it restarts in a store outage': restartBeforeReport,
+  'restarts in a store outage, with jobs polled throughout': restartsInOutage,
+  'a cancellation told by a majority whose nodes restart in a store outage': restartOfMajority,
   'an unanswered cancellation and a restart, seconds before a store outage': unansweredCancellationAndRestart,
   'a job whose end one node knows, polled at the others in a store outage': endKnownToOneNode,
 };
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -340,6 +340,21 @@
 /** Jobs. Maximum asked about in one such round; further jobs go into the next. */
 export const UNANIMOUS_READ_BATCH = 500;
 
+// --- reported ends ---
+/**
+ * Milliseconds of a read lease, counted from the request for it. Longer than a controller's restart; and users
+ * whose polls fail because no majority knows an end wait no longer than this.
+ */
+export const READ_LEASE_MS = 20_000;
+/** Milliseconds between requests that renew the read leases and ask for acknowledgements. */
+export const READ_LEASE_RENEWAL_MS = 1000;
+/** Ends. Maximum that a request asks about, and that a reply lists. */
+export const END_ACKNOWLEDGEMENT_BATCH = 200;
+/** Milliseconds that a user's request waits for peers to acknowledge the end of its job. */
+export const END_ACKNOWLEDGEMENT_DEADLINE_MS = 400;
+/** Milliseconds between requests to peers while users wait for acknowledgements. */
+export const END_ACKNOWLEDGEMENT_GAP_MS = 100;
+
 // --- quotas ---
 /** Milliseconds between transfers of one team's quota from a shard to another. */
 export const QUOTA_REBALANCE_MS = 500;
--- a/packages/scheduler/src/coordination/controller.ts
+++ b/packages/scheduler/src/coordination/controller.ts
@@ -7,6 +7,7 @@
   MIGRATION_TICK_MS,
   PEER_KEEPALIVE_MS,
   QUOTA_REBALANCE_MS,
+  READ_LEASE_RENEWAL_MS,
   REACHABILITY_PROBE_MS,
 } from '../constants.ts';
 import type { ApiHandlers, HeartbeatReply } from '../protocol/http-api.ts';
@@ -26,7 +27,7 @@
 
   /** Runs until the signal is aborted. */
   async run(): Promise<void> {
-    const { catalog, eventLoopLag, failover, finalRecords, ledShards } = this.components;
+    const { catalog, endReporting, eventLoopLag, failover, finalRecords, ledShards } = this.components;
     const { machineList, migration } = this.components;
     const { prober, quotaRebalancer, registration, signal, watchCache } = this.components;
     const start = (name: string, everyMs: number, task: () => Promise<void> | void): Promise<void> =>
@@ -42,6 +43,7 @@
       start('reachability', REACHABILITY_PROBE_MS, () => prober.probeAll()),
       catalog.run(),
       start('final records', FINAL_RECORD_TICK_MS, () => finalRecords.readMissing()),
+      start('read leases', READ_LEASE_RENEWAL_MS, () => endReporting.renew()),
       start('quotas', QUOTA_REBALANCE_MS, () => quotaRebalancer.rebalance()),
       start('migration', MIGRATION_TICK_MS, () => migration.migrateOne()),
       start('peer keepalive', PEER_KEEPALIVE_MS, () => this.sendKeepalives()),
--- a/packages/scheduler/src/coordination/job-view.ts
+++ b/packages/scheduler/src/coordination/job-view.ts
@@ -4,7 +4,8 @@
 import type { OpenJobs } from '../storage/open-jobs.ts';
 import type { WatchCache } from '../storage/watch-cache.ts';
 import type { JobRequests } from './jobs/job-requests.ts';
-import type { JobObservation, JobObserver } from './leadership/unanimous-read.ts';
+import type { JobObserver } from './leadership/unanimous-read.ts';
+import type { JobObservation } from './leadership/unreported-end.ts';
 import type { ShardLoads } from './scheduling/shard-loads.ts';
 import type { WatchDispatcher } from './watch-dispatcher.ts';
 
@@ -22,28 +23,30 @@
 export class JobView implements JobObserver {
   constructor(private readonly context: JobViewContext) {}
 
-  /** What this node knows of the job; null while its watch cache is not complete. */
-  observe(job: string): JobObservation | null {
+  /** What this node knows of the job. */
+  observe(job: string): JobObservation {
     const { deletedJobs, dispatcher, jobRequests, openJobs, watchCache } = this.context;
-    if (!dispatcher.isLoaded) return null;
     if (jobRequests.isFinished(job) || openJobs.isClosed(job)) return { kind: 'over' };
+    const { forgottenEndsUpTo } = this;
+    if (!dispatcher.isLoaded) return { kind: 'unread', forgottenEndsUpTo };
     const asOf = watchCache.currentRevision;
     const open = openJobs.jobs.get(job);
     if (open) return { kind: 'open', version: open.version, endedAfter: asOf };
-    const forgottenEndsUpTo = this.forgottenEndsUpTo ?? asOf;
     return { kind: 'none', asOf, endedAfter: deletedJobs.endedAfter(job), forgottenEndsUpTo };
   }
 
   /**
    * Ends that this node may have reported to users, and that this process does not remember, have at most
    * this revision: an earlier process of the node committed or read them before this one had its first answer
-   * from the key-value store, or this process has evicted them. Null before that answer.
+   * from the key-value store, or this process has evicted them. While the watch cache is not complete, only
+   * what this process has evicted counts.
    */
-  get forgottenEndsUpTo(): Revision | null {
-    const { jobRequests, watchCache } = this.context;
-    const { firstRevision } = watchCache;
+  get forgottenEndsUpTo(): Revision {
+    const { dispatcher, jobRequests, watchCache } = this.context;
     const evicted = jobRequests.forgottenEndsUpTo;
-    return firstRevision !== null && evicted > firstRevision ? evicted : firstRevision;
+    const { firstRevision } = watchCache;
+    if (!dispatcher.isLoaded || firstRevision === null) return evicted;
+    return evicted > firstRevision ? evicted : firstRevision;
   }
 
   /** Counts the job's tasks that are not settled, and those running according to the shards' reports. */
--- /dev/null
+++ b/packages/scheduler/src/coordination/jobs/end-reporting.ts
@@ -0,0 +1,110 @@
+/**
+ * Decides when this node may report the ends of jobs to users. It asks the peers which ends they know, and
+ * notifies again those that have missed a notice: docs/design.md, "Reported ends".
+ */
+import {
+  END_ACKNOWLEDGEMENT_BATCH,
+  END_ACKNOWLEDGEMENT_DEADLINE_MS,
+  END_ACKNOWLEDGEMENT_GAP_MS,
+} from '../../constants.ts';
+import type { ObservationReply } from '../../protocol/peer-messages.ts';
+import type { JobId } from '../../protocol/users.ts';
+import type { Clock } from '../../transport/clock.ts';
+import type { NodeIdentity } from '../leadership/membership.ts';
+import type { PeerReadLeases } from '../leadership/peer-read-leases.ts';
+import type { PeerChannel } from '../peer-channel.ts';
+import type { EndAcknowledgements } from './end-acknowledgements.ts';
+import { notifyOfEnd } from './end-notice.ts';
+import type { FinishedJobs } from './finished-jobs.ts';
+
+/** What {@link EndReporting} needs of its node. */
+export interface EndReportingContext {
+  readonly clock: Clock;
+  /** Aborted at the end of the process. */
+  readonly signal: AbortSignal;
+  readonly self: NodeIdentity;
+  readonly peers: PeerChannel;
+  readonly finishedJobs: FinishedJobs;
+  readonly endAcknowledgements: EndAcknowledgements;
+  readonly readLeases: PeerReadLeases;
+}
+
+/** A user's request that waits until a majority knows the end of its job. */
+interface Waiter {
+  readonly jobId: JobId;
+  readonly wake: () => void;
+}
+
+/** Obtains the acknowledgements of ends. */
+export class EndReporting {
+  private readonly waiters = new Set<Waiter>();
+  private isAsking = false;
+  private requestCount = 0;
+
+  constructor(private readonly context: EndReportingContext) {}
+
+  /**
+   * Whether this node may report the job's end, which it knows, to a user now. If a majority is not known to
+   * know the end yet, asks the peers and waits for their replies.
+   */
+  async isReportable(jobId: JobId): Promise<boolean> {
+    const { clock, endAcknowledgements } = this.context;
+    if (endAcknowledgements.isReportable(jobId)) return true;
+    const acknowledged = new AbortController();
+    const waiter: Waiter = { jobId, wake: () => acknowledged.abort() };
+    this.waiters.add(waiter);
+    void this.askForWaiters();
+    await clock.sleep(END_ACKNOWLEDGEMENT_DEADLINE_MS, acknowledged.signal);
+    this.waiters.delete(waiter);
+    return endAcknowledgements.isReportable(jobId);
+  }
+
+  /**
+   * Asks every peer which of the unacknowledged ends it knows, the oldest first. Called periodically: the
+   * replies also renew the peers' read leases.
+   */
+  renew(): void {
+    const { endAcknowledgements, readLeases } = this.context;
+    const requestId = this.ask(endAcknowledgements.jobs(END_ACKNOWLEDGEMENT_BATCH));
+    readLeases.onRequested(requestId);
+  }
+
+  /** A peer has replied to a request for its observations; late replies count too, as ends are final. */
+  onReply(from: string, reply: ObservationReply): void {
+    const { endAcknowledgements } = this.context;
+    const unread = new Set(reply.unread);
+    for (const jobId of reply.over) {
+      if (unread.has(jobId)) this.notify(from, jobId);
+      else endAcknowledgements.onAcknowledged(jobId, from);
+    }
+    for (const [jobId] of [...reply.open, ...reply.none]) this.notify(from, jobId);
+    for (const { jobId, wake } of this.waiters) if (endAcknowledgements.isReportable(jobId)) wake();
+  }
+
+  /** Asks about the jobs that users wait for, repeatedly until none waits: a peer may have missed a notice. */
+  private async askForWaiters(): Promise<void> {
+    if (this.isAsking) return;
+    this.isAsking = true;
+    const { clock, signal } = this.context;
+    while (this.waiters.size > 0 && !signal.aborted) {
+      const jobIds = new Set([...this.waiters].map(({ jobId }) => jobId));
+      this.ask([...jobIds].slice(0, END_ACKNOWLEDGEMENT_BATCH));
+      await clock.sleep(END_ACKNOWLEDGEMENT_GAP_MS, signal);
+    }
+    this.isAsking = false;
+  }
+
+  private ask(jobIds: JobId[]): string {
+    const { peers, self } = this.context;
+    const requestId = `${self.incarnation}/e${String(++this.requestCount)}`;
+    peers.broadcast({ kind: 'observationRequest', requestId, jobIds });
+    return requestId;
+  }
+
+  /** Notifies a peer again of an end that it does not know, if this node knows it. */
+  private notify(peer: string, jobId: JobId): void {
+    const { finishedJobs, peers } = this.context;
+    const end = finishedJobs.end(jobId);
+    if (end) notifyOfEnd(peers, [peer], jobId, end);
+  }
+}
--- a/packages/scheduler/src/coordination/jobs/final-record-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/final-record-reader.ts
@@ -6,13 +6,10 @@
 import type { Revision } from '../../protocol/key-value.ts';
 import type { Clock } from '../../transport/clock.ts';
 import type { Log } from '../../transport/log.ts';
-import type { FinalStatus } from './finished-jobs.ts';
+import type { JobEnd } from './finished-jobs.ts';
 
 /** How a job ended, and the revision of its final record. */
-export interface FinalRecord {
-  readonly status: FinalStatus;
-  /** Number of tasks of the job. */
-  readonly tasks: number;
+export interface FinalRecord extends JobEnd {
   readonly revision: Revision;
 }
 
--- a/packages/scheduler/src/coordination/jobs/job-requests.ts
+++ b/packages/scheduler/src/coordination/jobs/job-requests.ts
@@ -6,7 +6,7 @@
 import type { MachineType } from '../../protocol/cloud.ts';
 import { RequestRejected, type Revision } from '../../protocol/key-value.ts';
 import type { UserOperation } from '../../protocol/peer-messages.ts';
-import { encodeState, type JobSpec, type UserAnswer, userAnswers } from '../../protocol/users.ts';
+import { encodeState, type JobSpec, reportsEnd, type UserAnswer, userAnswers } from '../../protocol/users.ts';
 import type { Settings } from '../../settings.ts';
 import type { KeyValueStore } from '../../storage/key-value-store.ts';
 import type { WatchCache } from '../../storage/watch-cache.ts';
@@ -17,7 +17,7 @@
 import type { ShardMap } from '../leadership/shard-map.ts';
 import type { ShardLoads } from '../scheduling/shard-loads.ts';
 import type { FinalRecord } from './final-record-reader.ts';
-import { FinishedJobs } from './finished-jobs.ts';
+import type { FinishedJobs, JobEnd } from './finished-jobs.ts';
 import { JobCancellation } from './job-cancellation.ts';
 import { JobStateReader, type OpenJobLookup, viewAnswer } from './job-state-reader.ts';
 import { JobSubmission } from './job-submission.ts';
@@ -42,13 +42,14 @@
   readonly shardMap: ShardMap;
   /** The cloud's machine types; null until they have been read. */
   readonly catalog: () => MachineType[] | null;
+  /** The ends that this node knows. */
+  readonly finishedJobs: FinishedJobs;
+  /** Whether the end of a job, which this node knows, may be reported to users; may ask the peers. */
+  readonly isReportable: (jobId: string) => Promise<boolean>;
   /** The unanimous read: whether no node, asked after this call began, may have reported the job's end. */
   readonly isUnfinishedForUsers: (jobId: string) => Promise<boolean>;
-  /**
-   * Called when this node has committed the job's cancellation, or has found the job already cancelled while
-   * it executed a user's cancellation. `revision` is that of the final record.
-   */
-  readonly onCancelled: (jobId: string, revision: Revision | null) => void;
+  /** Called when this node has committed the end of a job, or has read a final record that it did not know. */
+  readonly onEndLearned: (jobId: string, record: FinalRecord) => void;
   /** Forwards a request to the peers, in case one reaches the key-value store; null if no peer answers it. */
   readonly forward: (operation: UserOperation, body: JobSpec | string) => Promise<UserAnswer | null>;
 }
@@ -63,17 +64,18 @@
  * is the job's id.
  */
 export class JobRequests {
-  private readonly finishedJobs = new FinishedJobs();
+  private readonly finishedJobs: FinishedJobs;
   private readonly stateReader: JobStateReader;
   private readonly submission: JobSubmission;
   private readonly cancellation: JobCancellation;
 
   constructor(private readonly context: JobRequestsContext) {
-    const { finishedJobs } = this;
-    this.stateReader = new JobStateReader({ ...context, finishedJobs });
+    const { finishedJobs, onEndLearned, store } = context;
+    this.finishedJobs = finishedJobs;
+    this.stateReader = new JobStateReader(context);
     const { stateReader } = this;
     this.submission = new JobSubmission({ ...context, stateReader });
-    this.cancellation = new JobCancellation({ ...context, finishedJobs, stateReader });
+    this.cancellation = new JobCancellation({ store, stateReader, onCancelled: onEndLearned });
   }
 
   /** Accepts or rejects a job. */
@@ -92,14 +94,15 @@
   }
 
   /**
-   * Executes a request that a peer forwarded; null if this node knows no final status of the job and does not
-   * reach the key-value store either.
+   * Executes a request that a peer forwarded; null if this node has no answer: it knows no final status of the
+   * job that may be reported, and does not reach the key-value store either.
    */
   async handleLocally(operation: UserOperation, body: JobSpec | string): Promise<UserAnswer | null> {
-    const known = this.knownAnswer(operation, typeof body === 'string' ? body : body.id);
-    if (known) return known;
+    const jobId = typeof body === 'string' ? body : body.id;
+    const known = this.knownAnswer(operation, jobId);
+    if (known) return this.reportable(jobId, known);
     try {
-      return await this.execute(operation, body);
+      return await this.reportable(jobId, await this.execute(operation, body));
     } catch (error: unknown) {
       if (isStoreFailure(error)) return null;
       throw error;
@@ -121,28 +124,25 @@
     return this.finishedJobs.evictedUpTo;
   }
 
-  /**
-   * Caches that a job is cancelled, as this node or a peer has committed it. `revision` is that of the final
-   * record; null if it is not known.
-   */
-  recordCancelled(jobId: string, revision: Revision | null): void {
-    this.finishedJobs.add(jobId, 'cancelled', revision);
-  }
-
-  /** Caches that a job with this number of tasks is done, as this node or a peer has committed it. */
-  recordDone(jobId: string, revision: Revision, tasks: number): void {
-    this.finishedJobs.add(jobId, 'done', revision, tasks);
+  /** Caches the end of a job. `source`: the peer that told this node, or this node if it knows by itself. */
+  recordEnd(jobId: string, end: JobEnd, source: string): void {
+    this.finishedJobs.add(jobId, end, source);
   }
 
   /** The answer to a request for a job whose final status is cached; null for any other job. */
   private knownAnswer(operation: UserOperation, jobId: string): UserAnswer | null {
     const { finishedJobs } = this;
-    const status = finishedJobs.get(jobId);
+    const status = finishedJobs.end(jobId)?.status;
     if (!status) return null;
     if (operation !== 'status') return { status: 200, body: encodeState(jobId, status) };
     return viewAnswer({ id: jobId, status, done: finishedJobs.doneTasks(jobId), running: 0 });
   }
 
+  /** The answer, or null if it reports an end that must not be reported yet. */
+  private async reportable(jobId: string, answer: UserAnswer): Promise<UserAnswer | null> {
+    return !reportsEnd(answer) || (await this.context.isReportable(jobId)) ? answer : null;
+  }
+
   private execute(operation: UserOperation, body: JobSpec | string): Promise<UserAnswer> {
     if (typeof body !== 'string') return this.submission.submit(body);
     return operation === 'cancel' ? this.cancellation.cancel(body) : this.stateReader.status(body);
@@ -157,7 +157,7 @@
   private async route(operation: UserOperation, body: JobSpec | string, jobId: string): Promise<UserAnswer> {
     const { clock, watchCache, forward } = this.context;
     const known = this.knownAnswer(operation, jobId);
-    if (known) return known;
+    if (known) return (await this.reportable(jobId, known)) ?? userAnswers.undecided;
     const isStoreContactStale = clock.now() - watchCache.confirmedAt > STORE_CONTACT_STALE_MS;
     if (isStoreContactStale) {
       // Both at the same time, so that a peer that does not respond to one does not delay the other.
@@ -166,7 +166,8 @@
       if (answer) return answer;
     }
     try {
-      return await this.execute(operation, body);
+      const answer = await this.execute(operation, body);
+      return (await this.reportable(jobId, answer)) ?? userAnswers.undecided;
     } catch (error: unknown) {
       if (!isStoreFailure(error)) throw error;
       const answer = isStoreContactStale ? null : await forward(operation, body);
--- a/packages/scheduler/src/coordination/jobs/job-state-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/job-state-reader.ts
@@ -4,6 +4,7 @@
 import {
   encodeView,
   type JobSpec,
+  type FinalStatus,
   type JobView,
   type UserAnswer,
   userAnswers,
@@ -13,7 +14,7 @@
 import { jobKey, openJobKey } from '../../storage/records.ts';
 import type { WatchCache } from '../../storage/watch-cache.ts';
 import type { FinalRecord } from './final-record-reader.ts';
-import type { FinalStatus, FinishedJobs } from './finished-jobs.ts';
+import type { FinishedJobs } from './finished-jobs.ts';
 
 /** A job's state in the key-value store: open, with the open record's version as a precondition, or final. */
 export type JobState =
@@ -40,6 +41,8 @@
   readonly store: KeyValueStore;
   readonly watchCache: WatchCache;
   readonly finishedJobs: FinishedJobs;
+  /** Called with a final record that has been read for a user and that this node did not know. */
+  readonly onEndLearned: (jobId: string, record: FinalRecord) => void;
 }
 
 /** The successful answer to a request about a job, with the job's view as its body. */
@@ -86,9 +89,10 @@
   private async readFinished(jobId: string): Promise<JobState | null> {
     const entry = await this.context.store.get(jobKey(jobId), 'user');
     if (!entry) return null;
-    const job = decodeJob(entry.value);
-    this.context.finishedJobs.add(jobId, job.status, entry.version, job.tasks);
-    return job;
+    const record = { ...decodeJob(entry.value), revision: entry.version };
+    // Usually the transaction that ended the job got no answer, so that its sender notified no peers.
+    if (!this.context.finishedJobs.has(jobId)) this.context.onEndLearned(jobId, record);
+    return record;
   }
 
   /** The answer to a request about a job in this state. */
--- a/packages/scheduler/src/coordination/leadership/unanimous-read.ts
+++ b/packages/scheduler/src/coordination/leadership/unanimous-read.ts
@@ -3,32 +3,20 @@
  * that nobody has reported the end of a job to its user. docs/design.md, "User requests", has the proof.
  */
 import { UNANIMOUS_READ_DEADLINE_MS, UNANIMOUS_READ_GAP_MS, UNANIMOUS_READ_BATCH } from '../../constants.ts';
-import type { ExactInteger } from '../../protocol/json.ts';
-import type { ObservationReply, ObservationRequest } from '../../protocol/peer-messages.ts';
+import type { Revision } from '../../protocol/key-value.ts';
+import type { ObservationReply } from '../../protocol/peer-messages.ts';
 import type { Clock } from '../../transport/clock.ts';
 import type { PeerChannel } from '../peer-channel.ts';
 import type { NodeIdentity } from './membership.ts';
-
-/**
- * What a node knows of a job. `open`: its watch cache has the open record, at this version. `over`: the job is
- * over, or the node can say nothing. `none`: its watch cache has no open record as of a revision, and the node
- * does not know how the job ended.
- *
- * `endedAfter`: a revision that the job's end is later than; 0 if the node has never seen the job open.
- * `forgottenEndsUpTo`: ends that the node may have reported to users, and that its process does not remember,
- * have at most this revision.
- */
-export type JobObservation =
-  | { kind: 'open'; version: ExactInteger; endedAfter: ExactInteger }
-  | { kind: 'over' }
-  | { kind: 'none'; asOf: ExactInteger; endedAfter: ExactInteger; forgottenEndsUpTo: ExactInteger };
+import type { PeerReadLeases } from './peer-read-leases.ts';
+import { isUnreportedByAll, type JobObservation, type NodeObservation } from './unreported-end.ts';
 
 /** Knows what this node has observed of jobs. */
 export interface JobObserver {
-  /** What this node knows of the job; null while its watch cache is not complete. */
-  observe(job: string): JobObservation | null;
-  /** See {@link JobObservation}; null before the first answer of the key-value store. */
-  readonly forgottenEndsUpTo: ExactInteger | null;
+  /** What this node knows of the job. */
+  observe(job: string): JobObservation;
+  /** See {@link JobObservation}. */
+  readonly forgottenEndsUpTo: Revision;
 }
 
 /** What {@link UnanimousRead} needs of its node. */
@@ -40,27 +28,9 @@
   readonly self: NodeIdentity;
   readonly peers: PeerChannel;
   readonly jobView: JobObserver;
-}
-
-/**
- * Whether no node can have reported the end of the job, by the observations of all nodes. At least one node
- * must have seen the job open; the newest of these observations counts. A process that has reported an end
- * remembers it, and observes `over`. An end that a node has reported and does not remember is not later than
- * `forgottenEndsUpTo`, so it is not the end of a job that was still open then.
- */
-function isUnreportedByAll(observations: readonly JobObservation[]): boolean {
-  let lastOpenAt: ExactInteger = 0;
-  for (const observation of observations)
-    if (observation.kind !== 'over' && observation.endedAfter > lastOpenAt)
-      lastOpenAt = observation.endedAfter;
-  return (
-    lastOpenAt > 0 &&
-    observations.every(
-      (observation) =>
-        observation.kind === 'open' ||
-        (observation.kind === 'none' && observation.forgottenEndsUpTo <= lastOpenAt),
-    )
-  );
+  readonly readLeases: PeerReadLeases;
+  /** How many of the deployment's nodes are a majority of them. */
+  readonly majority: number;
 }
 
 /** One request to all peers. */
@@ -69,7 +39,7 @@
   /** Peers that have not replied yet. */
   readonly unanswered: Set<string>;
   /** The peers' observations, by job. */
-  readonly observations: Map<string, JobObservation[]>;
+  readonly observations: Map<string, NodeObservation[]>;
   /** Aborted when the last reply is received. */
   readonly ended: AbortController;
 }
@@ -94,10 +64,10 @@
    */
   async isUnfinishedForUsers(job: string): Promise<boolean> {
     const { jobView, peers } = this.context;
-    const known = jobView.observe(job)?.kind ?? 'over';
+    const { kind } = jobView.observe(job);
     // All nodes must take part. The read cannot succeed if a peer is not connected, or if this node has seen
-    // the job's end or cannot observe the job.
-    if (known === 'over' || peers.connected().length < peers.names.length) return false;
+    // the job's end. Without a complete watch cache it could not show the job's state.
+    if (kind === 'over' || kind === 'unread' || peers.connected().length < peers.names.length) return false;
     return new Promise<boolean>((resolve) => {
       this.waitingRequests.set(job, [...(this.waitingRequests.get(job) ?? []), resolve]);
       void this.runRounds();
@@ -122,15 +92,20 @@
     this.isRunning = false;
   }
 
-  private isUnreportedAfterRound(job: string, observations: Map<string, JobObservation[]> | null): boolean {
-    const own = this.context.jobView.observe(job);
-    return (
-      observations !== null && own !== null && isUnreportedByAll([own, ...(observations.get(job) ?? [])])
-    );
+  private isUnreportedAfterRound(job: string, observations: Map<string, NodeObservation[]> | null): boolean {
+    if (!observations) return false;
+    const { jobView, majority, readLeases, self } = this.context;
+    const own: NodeObservation = {
+      node: self.name,
+      incarnation: self.incarnation,
+      observation: jobView.observe(job),
+      readLeases: readLeases.unbroken(),
+    };
+    return isUnreportedByAll([own, ...(observations.get(job) ?? [])], majority);
   }
 
   /** The peers' observations of the jobs; null if not all peers have replied in time. */
-  private async runRound(jobs: string[]): Promise<Map<string, JobObservation[]> | null> {
+  private async runRound(jobs: string[]): Promise<Map<string, NodeObservation[]> | null> {
     const { clock, peers, self } = this.context;
     const round: Round = {
       id: `${self.incarnation}/${String(++this.roundCount)}`,
@@ -148,28 +123,13 @@
     return round.unanswered.size === 0 ? round.observations : null;
   }
 
-  /** A peer asks what this node knows of jobs. A job that cannot be observed counts as over. */
-  onRequest(from: string, { requestId, jobIds }: ObservationRequest): void {
-    const { jobView, peers } = this.context;
-    const { forgottenEndsUpTo } = jobView;
-    const lists = { open: [], over: [], none: [], endedAfter: [] };
-    const reply: ObservationReply = { kind: 'observationReply', requestId, ...lists, forgottenEndsUpTo };
-    for (const job of jobIds) {
-      const observation = jobView.observe(job) ?? { kind: 'over' };
-      if (observation.kind === 'over') reply.over.push(job);
-      else if (observation.kind === 'open') reply.open.push([job, observation.version]);
-      else reply.none.push([job, observation.asOf]);
-      if (observation.kind !== 'over' && observation.endedAfter > 0)
-        reply.endedAfter.push([job, observation.endedAfter]);
-    }
-    peers.send(from, reply);
-  }
-
   /** A peer has replied. Replies to earlier rounds and repeated ones are dropped. */
   onReply(from: string, reply: ObservationReply): void {
     const { round } = this;
     if (round?.id !== reply.requestId || !round.unanswered.delete(from)) return;
-    for (const [job, observation] of observationsIn(reply)) round.observations.get(job)?.push(observation);
+    const { incarnation, readLeases } = reply;
+    for (const [job, observation] of observationsIn(reply))
+      round.observations.get(job)?.push({ node: from, incarnation, observation, readLeases });
     if (round.unanswered.size === 0) round.ended.abort();
   }
 }
@@ -177,12 +137,18 @@
 /** The observations in a peer's reply. A peer of an older version reports fewer bounds, and weaker ones. */
 function observationsIn(reply: ObservationReply): [job: string, JobObservation][] {
   const endedAfter = new Map(reply.endedAfter);
+  const unread = new Set(reply.unread);
   return [
     ...reply.open.map(([job, version]): [string, JobObservation] => [
       job,
       { kind: 'open', version, endedAfter: endedAfter.get(job) ?? version },
     ]),
-    ...reply.over.map((job): [string, JobObservation] => [job, { kind: 'over' }]),
+    ...reply.over.map((job): [string, JobObservation] => [
+      job,
+      unread.has(job)
+        ? { kind: 'unread', forgottenEndsUpTo: reply.forgottenEndsUpTo ?? 0 }
+        : { kind: 'over' },
+    ]),
     ...reply.none.map(([job, asOf]): [string, JobObservation] => [
       job,
       {
--- /dev/null
+++ b/packages/scheduler/src/coordination/leadership/unreported-end.ts
@@ -0,0 +1,86 @@
+/**
+ * Whether the observations of all nodes show that no node has reported the end of a job to a user. The decision
+ * is pure; docs/design.md, "User requests" and "Reported ends", has the proof.
+ */
+import type { ExactInteger } from '../../protocol/json.ts';
+import type { ReadLease } from '../../protocol/peer-messages.ts';
+
+/**
+ * What a node knows of a job. `open`: its watch cache has the open record, at this version. `over`: the job is
+ * over, or the node can say nothing. `none`: its watch cache has no open record as of a revision, and the node
+ * does not know how the job ended. `unread`: its watch cache is not complete, and the node does not know the
+ * job's end.
+ *
+ * `endedAfter`: a revision that the job's end is later than; 0 if the node has never seen the job open.
+ * `forgottenEndsUpTo`: ends that the node may have reported to users, and that its process does not remember,
+ * have at most this revision. For `unread`, ends that earlier processes of the node have reported do not count.
+ */
+export type JobObservation =
+  | { kind: 'open'; version: ExactInteger; endedAfter: ExactInteger }
+  | { kind: 'over' }
+  | { kind: 'unread'; forgottenEndsUpTo: ExactInteger }
+  | { kind: 'none'; asOf: ExactInteger; endedAfter: ExactInteger; forgottenEndsUpTo: ExactInteger };
+
+/** A node's observation of a job, with what is known of its process and of the other nodes. */
+export interface NodeObservation {
+  readonly node: string;
+  /** The node's process; null if it is of a version that reports ends before a majority knows them. */
+  readonly incarnation: string | null;
+  readonly observation: JobObservation;
+  /** The unbroken read leases that the process has from other nodes. */
+  readonly readLeases: readonly ReadLease[];
+}
+
+/** The newest revision that some node shows the job's end to be later than; 0 if no node has seen it open. */
+function lastOpenRevision(nodes: readonly NodeObservation[]): ExactInteger {
+  let lastOpenAt: ExactInteger = 0;
+  for (const { observation } of nodes) {
+    if (observation.kind !== 'open' && observation.kind !== 'none') continue;
+    if (observation.endedAfter > lastOpenAt) lastOpenAt = observation.endedAfter;
+  }
+  return lastOpenAt;
+}
+
+/**
+ * Whether the node has reported no end later than `lastOpenAt` that it does not know, and its process was
+ * running before such an end was committed.
+ */
+function hasReportedNone({ observation }: NodeObservation, lastOpenAt: ExactInteger): boolean {
+  return (
+    observation.kind === 'open' ||
+    (observation.kind === 'none' && observation.forgottenEndsUpTo <= lastOpenAt)
+  );
+}
+
+/** Whether the node's leases show that no earlier process of `other` reported the end without a majority. */
+function holdsLeaseOf(node: NodeObservation, other: NodeObservation, lastOpenAt: ExactInteger): boolean {
+  return node.readLeases.some(
+    (lease) =>
+      lease.node === other.node &&
+      lease.incarnation === other.incarnation &&
+      lease.fromRevision <= lastOpenAt,
+  );
+}
+
+/**
+ * Whether no node can have reported the end of the job. At least one node must have seen the job open; the
+ * newest of these observations counts. Nodes whose processes have read nothing yet are allowed if they cannot
+ * be part of a majority that knew the end, and if another node holds an unbroken read lease of each.
+ */
+export function isUnreportedByAll(nodes: readonly NodeObservation[], majority: number): boolean {
+  const lastOpenAt = lastOpenRevision(nodes);
+  if (lastOpenAt === 0) return false;
+  const unread = nodes.filter(
+    ({ observation }) => observation.kind === 'unread' && observation.forgottenEndsUpTo <= lastOpenAt,
+  );
+  const witnesses = nodes.filter((node) => hasReportedNone(node, lastOpenAt));
+  if (witnesses.length + unread.length < nodes.length) return false;
+  if (unread.length === 0) return true;
+  // A process of an older version may have counted as acknowledging an end that it does not know.
+  const acknowledging = witnesses.filter(({ incarnation }) => incarnation !== null);
+  const maxKnowing = nodes.length - acknowledging.length;
+  return (
+    maxKnowing < majority &&
+    unread.every((node) => acknowledging.some((witness) => holdsLeaseOf(witness, node, lastOpenAt)))
+  );
+}
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -2,7 +2,7 @@
 import { CLOUD_DEADLINE_MS, STORE_DEADLINE_MS } from '../constants.ts';
 import { LeaderLease, leaderLeaseMs } from '../leader-lease.ts';
 import { cloudClient } from '../protocol/cloud.ts';
-import { keyValueApi, type Revision } from '../protocol/key-value.ts';
+import { keyValueApi } from '../protocol/key-value.ts';
 import { CachedPages } from '../storage/cached-pages.ts';
 import { KeyValueStore } from '../storage/key-value-store.ts';
 import { WatchCache } from '../storage/watch-cache.ts';
@@ -19,8 +19,12 @@
 import { MachineTypeCatalog } from './autoscaling/machine-type-catalog.ts';
 import type { ControllerDependencies } from './controller-dependencies.ts';
 import { JobView } from './job-view.ts';
+import { EndAcknowledgements } from './jobs/end-acknowledgements.ts';
+import { notifyOfEnd } from './jobs/end-notice.ts';
+import { EndReporting } from './jobs/end-reporting.ts';
 import { FailingJobs } from './jobs/failing-jobs.ts';
-import { FinalRecordReader } from './jobs/final-record-reader.ts';
+import { type FinalRecord, FinalRecordReader } from './jobs/final-record-reader.ts';
+import { FinishedJobs } from './jobs/finished-jobs.ts';
 import { JobCompletion } from './jobs/job-completion.ts';
 import { JobRequests } from './jobs/job-requests.ts';
 import { Failover } from './leadership/failover.ts';
@@ -30,6 +34,8 @@
 import { MachineListReader } from './leadership/machine-list-reader.ts';
 import { Membership, type NodeIdentity } from './leadership/membership.ts';
 import { NodeRegistration } from './leadership/node-registration.ts';
+import { ObservationResponder } from './leadership/observation-responder.ts';
+import { PeerReadLeases } from './leadership/peer-read-leases.ts';
 import { ReachabilityProber } from './leadership/reachability-prober.ts';
 import { Reachability } from './leadership/reachability.ts';
 import { RequestForwarding } from './leadership/request-forwarding.ts';
@@ -101,10 +107,15 @@
   readonly catalog: MachineTypeCatalog;
   readonly machineList = new MachineListReader(this);
   readonly failingJobs: FailingJobs;
+  readonly endAcknowledgements: EndAcknowledgements;
+  readonly finishedJobs: FinishedJobs;
   readonly jobRequests: JobRequests;
   readonly jobCompletion: JobCompletion;
   readonly finalRecords: FinalRecordReader;
   readonly jobView = new JobView(this);
+  readonly readLeases = new PeerReadLeases(this);
+  readonly observationResponder = new ObservationResponder(this);
+  readonly endReporting = new EndReporting(this);
   readonly unanimousRead = new UnanimousRead(this);
   readonly forwarding = new RequestForwarding(this);
   readonly peerMessages = new PeerMessageDispatcher(this);
@@ -146,6 +157,9 @@
     this.cloud = this.createCloud();
     this.catalog = new MachineTypeCatalog(this);
     this.failingJobs = this.createFailingJobs();
+    const nodes = { self: settings.node, majority: this.majority };
+    this.endAcknowledgements = new EndAcknowledgements(clock, nodes);
+    this.finishedJobs = new FinishedJobs(this.endAcknowledgements);
     this.jobRequests = this.createJobRequests();
     this.jobCompletion = this.createJobCompletion();
     this.finalRecords = this.createFinalRecordReader();
@@ -189,6 +203,11 @@
     return this.peers.names.length + 1;
   }
 
+  /** How many of all nodes are a majority of them. */
+  get majority(): number {
+    return Math.floor(this.nodeCount / 2) + 1;
+  }
+
   private createFailingJobs(): FailingJobs {
     const { ledShards } = this;
     return new FailingJobs({
@@ -198,7 +217,7 @@
   }
 
   private createJobRequests(): JobRequests {
-    const { catalog, clock, forwarding, jobView, openJobs } = this;
+    const { catalog, clock, endReporting, finishedJobs, forwarding, jobView, openJobs } = this;
     const { random, settings, shardLoads, shardMap, store, unanimousRead, wallClock, watchCache } = this;
     return new JobRequests({
       settings,
@@ -212,9 +231,11 @@
       catalog: () => catalog.types,
       openSpec: (job) => openJobs.jobs.get(job)?.record.spec ?? null,
       progress: (job) => jobView.progress(job),
+      finishedJobs,
+      isReportable: (job) => endReporting.isReportable(job),
       isUnfinishedForUsers: (job) => unanimousRead.isUnfinishedForUsers(job),
       forward: (operation, body) => forwarding.forward(operation, body),
-      onCancelled: (job, revision) => this.announceCancellation(job, revision),
+      onEndLearned: (job, record) => this.announceEnd(job, record),
     });
   }
 
@@ -225,23 +246,18 @@
       log,
       isFinished: (job) => jobRequests.isFinished(job),
       read: (job) => jobRequests.readFinalRecord(job),
-      onRead: (job, { status, revision, tasks }) => {
-        if (status === 'done') this.announceCompletion(job, revision, tasks);
-        else this.announceCancellation(job, revision);
-      },
+      onRead: (job, record) => this.announceEnd(job, record),
     });
   }
 
-  /** The job's cancellation is committed: its tasks are stopped, and all peers are notified. */
-  private announceCancellation(job: string, revision: Revision | null): void {
-    this.dispatcher.onJobCancelled(job, revision);
-    this.peers.broadcast({ kind: 'jobsCancelled', jobIds: [job], revision });
-  }
-
-  /** The job's completion is committed: all peers are notified, so that any of them can answer its user. */
-  private announceCompletion(job: string, revision: Revision, tasks: number): void {
-    this.jobRequests.recordDone(job, revision, tasks);
-    this.peers.broadcast({ kind: 'jobDone', jobId: job, revision, tasks });
+  /**
+   * This node has committed or read the job's final record. The tasks of a cancelled job are stopped. All peers
+   * are notified, so that any of them can answer the job's user.
+   */
+  private announceEnd(job: string, record: FinalRecord): void {
+    this.jobRequests.recordEnd(job, record, this.self.name);
+    if (record.status === 'cancelled') this.dispatcher.onJobCancelled(job);
+    notifyOfEnd(this.peers, this.peers.names, job, record);
   }
 
   private createJobCompletion(): JobCompletion {
@@ -253,7 +269,7 @@
       store,
       openJobs,
       leads: (shard) => ledShards.get(shard) !== undefined,
-      onDone: (job, revision, tasks) => this.announceCompletion(job, revision, tasks),
+      onDone: (job, revision, tasks) => this.announceEnd(job, { status: 'done', revision, tasks }),
     });
   }
 
--- a/packages/scheduler/src/coordination/peer-message-dispatcher.ts
+++ b/packages/scheduler/src/coordination/peer-message-dispatcher.ts
@@ -1,10 +1,14 @@
 /** Passes messages from peers to the components that handle them. */
 import { decodePeerMessage } from '../protocol/peer-message-codec.ts';
+import type { KnownEnd, ObservationReply } from '../protocol/peer-messages.ts';
 import type { Clock } from '../transport/clock.ts';
 import type { Log } from '../transport/background-task.ts';
 import type { FailingJobs } from './jobs/failing-jobs.ts';
+import type { EndReporting } from './jobs/end-reporting.ts';
 import type { JobRequests } from './jobs/job-requests.ts';
 import type { LedShards } from './leadership/led-shards.ts';
+import type { ObservationResponder } from './leadership/observation-responder.ts';
+import type { PeerReadLeases } from './leadership/peer-read-leases.ts';
 import type { RequestForwarding } from './leadership/request-forwarding.ts';
 import type { UnanimousRead } from './leadership/unanimous-read.ts';
 import type { ShardLoads } from './scheduling/shard-loads.ts';
@@ -19,6 +23,9 @@
   readonly ledShards: LedShards;
   readonly dispatcher: WatchDispatcher;
   readonly unanimousRead: UnanimousRead;
+  readonly observationResponder: ObservationResponder;
+  readonly readLeases: PeerReadLeases;
+  readonly endReporting: EndReporting;
   readonly jobRequests: JobRequests;
   readonly forwarding: RequestForwarding;
 }
@@ -36,7 +43,7 @@
 
   /** Handles a message from the named peer. A message that cannot be decoded is logged and dropped. */
   onMessage(from: string, raw: unknown): void {
-    const { clock, dispatcher, forwarding, jobRequests, ledShards, log, unanimousRead } = this.context;
+    const { clock, forwarding, ledShards, log, observationResponder } = this.context;
     const message = decodePeerMessage(raw);
     this.lastAt = clock.now();
     switch (message?.kind) {
@@ -51,13 +58,15 @@
       case 'handover':
         return ledShards.onHandover(message);
       case 'jobsCancelled':
-        return message.jobIds.forEach((job) => dispatcher.onJobCancelled(job, message.revision));
+        return message.jobIds.forEach((jobId) =>
+          this.onEnd(from, { jobId, status: 'cancelled', revision: message.revision, tasks: 0 }),
+        );
       case 'jobDone':
-        return jobRequests.recordDone(message.jobId, message.revision, message.tasks);
+        return this.onEnd(from, { ...message, status: 'done' });
       case 'observationRequest':
-        return unanimousRead.onRequest(from, message);
+        return observationResponder.onRequest(from, message);
       case 'observationReply':
-        return unanimousRead.onReply(from, message);
+        return this.onObservationReply(from, message);
       case 'forwardedRequest':
         return void forwarding.onRequest(from, message);
       case 'forwardedReply':
@@ -66,4 +75,19 @@
         log.debug({ peer: from }, 'peer message dropped: unknown kind or malformed');
     }
   }
+
+  private onEnd(from: string, { jobId, status, revision, tasks }: KnownEnd): void {
+    const { dispatcher, jobRequests } = this.context;
+    jobRequests.recordEnd(jobId, { status, revision, tasks }, from);
+    if (status === 'cancelled') dispatcher.onJobCancelled(jobId);
+  }
+
+  /** The ends in the reply are recorded first: the read lease that it grants depends on them. */
+  private onObservationReply(from: string, reply: ObservationReply): void {
+    const { endReporting, readLeases, unanimousRead } = this.context;
+    for (const end of reply.ends) this.onEnd(from, end);
+    readLeases.onReply(from, reply);
+    endReporting.onReply(from, reply);
+    unanimousRead.onReply(from, reply);
+  }
 }
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -10,7 +10,6 @@
 import type { FailingJobs } from './jobs/failing-jobs.ts';
 import type { FinalRecordReader } from './jobs/final-record-reader.ts';
 import type { JobCompletion } from './jobs/job-completion.ts';
-import type { JobRequests } from './jobs/job-requests.ts';
 import type { Quotas } from './quota/quotas.ts';
 import type { HeartbeatRouter } from './workers/heartbeat-router.ts';
 import type { LedShards } from './leadership/led-shards.ts';
@@ -34,7 +33,6 @@
   readonly openJobs: OpenJobs;
   readonly deletedJobs: DeletedJobs;
   readonly watchCache: WatchCache;
-  readonly jobRequests: JobRequests;
   readonly jobCompletion: JobCompletion;
   readonly finalRecords: FinalRecordReader;
   readonly failingJobs: FailingJobs;
@@ -106,11 +104,9 @@
   /**
    * The job has been cancelled by a transaction of this node, or of a peer that has notified this one. Its
    * tasks are stopped at once, because this node may not reach the key-value store for a long time. That
-   * they end in time does not depend on this notification (docs/design.md, "Leader lease"). `revision` is that
-   * of the final record; null if it is not known.
+   * they end in time does not depend on this notification (docs/design.md, "Leader lease").
    */
-  onJobCancelled(id: string, revision: ExactInteger | null): void {
-    this.context.jobRequests.recordCancelled(id, revision);
+  onJobCancelled(id: string): void {
     this.onJobOver(id, this.context.openJobs.close(id));
   }
 
--- a/packages/scheduler/src/protocol/peer-message-codec.ts
+++ b/packages/scheduler/src/protocol/peer-message-codec.ts
@@ -5,7 +5,7 @@
  * is the only module that uses both the wire names and the names in the code.
  */
 import * as z from 'zod/mini';
-import type { MachinePool, PeerMessage } from './peer-messages.ts';
+import type { KnownEnd, MachinePool, ObservationReply, PeerMessage, ReadLease } from './peer-messages.ts';
 import { exactInteger } from './schema.ts';
 
 const wirePool = z.object({
@@ -19,6 +19,17 @@
 /** A job's id, with the version of its open record or the revision of the sender's watch cache. */
 const wireJobRevision = z.tuple([z.string(), exactInteger]);
 
+/** An end that the sender knows. */
+const wireEnd = z.object({
+  job: z.string(),
+  status: z.enum(['done', 'cancelled']),
+  revision: z.optional(exactInteger),
+  tasks: z.number(),
+});
+
+/** A node, its process, and a revision. */
+const wireReadLease = z.tuple([z.string(), z.string(), exactInteger]);
+
 const wireMessage = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('part'),
@@ -56,6 +67,11 @@
     none: z.array(wireJobRevision),
     after: z.optional(z.array(wireJobRevision)),
     upTo: z.optional(exactInteger),
+    unread: z.optional(z.array(z.string())),
+    process: z.optional(z.string()),
+    lease: z.optional(z.boolean()),
+    ends: z.optional(z.array(wireEnd)),
+    leases: z.optional(z.array(wireReadLease)),
   }),
   z.object({
     kind: z.literal('ask'),
@@ -102,15 +118,7 @@
     case 'observationRequest':
       return { kind: 'vouch', id: message.requestId, jobs: message.jobIds };
     case 'observationReply':
-      return {
-        kind: 'vouched',
-        id: message.requestId,
-        open: message.open,
-        over: message.over,
-        none: message.none,
-        ...(message.endedAfter.length === 0 ? {} : { after: message.endedAfter }),
-        ...(message.forgottenEndsUpTo === null ? {} : { upTo: message.forgottenEndsUpTo }),
-      };
+      return encodeObservationReply(message);
     case 'forwardedRequest':
       return {
         kind: 'ask',
@@ -123,6 +131,39 @@
   }
 }
 
+function encodeObservationReply(reply: ObservationReply): PeerWireMessage {
+  return {
+    kind: 'vouched',
+    id: reply.requestId,
+    open: reply.open,
+    over: reply.over,
+    none: reply.none,
+    ...(reply.endedAfter.length === 0 ? {} : { after: reply.endedAfter }),
+    ...(reply.forgottenEndsUpTo === null ? {} : { upTo: reply.forgottenEndsUpTo }),
+    ...(reply.unread.length === 0 ? {} : { unread: reply.unread }),
+    ...(reply.incarnation === null ? {} : { process: reply.incarnation }),
+    ...(reply.grantsReadLease ? { lease: true } : {}),
+    ...(reply.ends.length === 0 ? {} : { ends: reply.ends.map(encodeEnd) }),
+    ...(reply.readLeases.length === 0 ? {} : { leases: reply.readLeases.map(encodeReadLease) }),
+  };
+}
+
+function encodeEnd({ jobId, status, revision, tasks }: KnownEnd): z.infer<typeof wireEnd> {
+  return { job: jobId, status, tasks, ...(revision === null ? {} : { revision }) };
+}
+
+function decodeEnd({ job, status, revision, tasks }: z.infer<typeof wireEnd>): KnownEnd {
+  return { jobId: job, status, revision: revision ?? null, tasks };
+}
+
+function encodeReadLease({ node, incarnation, fromRevision }: ReadLease): z.infer<typeof wireReadLease> {
+  return [node, incarnation, fromRevision];
+}
+
+function decodeReadLease([node, incarnation, fromRevision]: z.infer<typeof wireReadLease>): ReadLease {
+  return { node, incarnation, fromRevision };
+}
+
 function encodePool(pool: MachinePool): WirePool {
   const counts = { open: pool.schedulable, idle: pool.idle };
   return pool.freeCapacity === undefined ? counts : { ...counts, left: pool.freeCapacity };
@@ -178,6 +219,11 @@
         none: wire.none,
         endedAfter: wire.after ?? [],
         forgottenEndsUpTo: wire.upTo ?? null,
+        unread: wire.unread ?? [],
+        incarnation: wire.process ?? null,
+        grantsReadLease: wire.lease ?? false,
+        ends: (wire.ends ?? []).map(decodeEnd),
+        readLeases: (wire.leases ?? []).map(decodeReadLease),
       };
     case 'ask':
       return {
--- a/packages/scheduler/src/protocol/peer-messages.ts
+++ b/packages/scheduler/src/protocol/peer-messages.ts
@@ -5,7 +5,7 @@
  * knows. So a message that is lost, late or repeated does no harm.
  */
 import type { Revision } from './key-value.ts';
-import type { JobId } from './users.ts';
+import type { FinalStatus, JobId } from './users.ts';
 import type { FencingToken } from './workers.ts';
 
 /** A shard's name: its zone and its number in the zone. */
@@ -108,7 +108,28 @@
   jobIds: JobId[];
 }
 
-/** The reply to an `ObservationRequest`; each of its jobs is in one of the three lists. */
+/** An end that the sender knows. */
+export interface KnownEnd {
+  jobId: JobId;
+  status: FinalStatus;
+  /** Revision of the final record; null if it is not known. */
+  revision: Revision | null;
+  /** Number of tasks of the job; 0 if it is not known. */
+  tasks: number;
+}
+
+/**
+ * The sender has had read leases of a peer node without a gap: no process of the node before this one has
+ * reported, without a majority, an end that is later than the revision and that the sender does not know.
+ */
+export interface ReadLease {
+  node: string;
+  /** The node's process that replied last. */
+  incarnation: string;
+  fromRevision: Revision;
+}
+
+/** The reply to an `ObservationRequest`; each of its jobs is in `open`, `over` or `none`. */
 export interface ObservationReply {
   kind: 'observationReply';
   /** The id of the request. */
@@ -119,6 +140,11 @@
   over: JobId[];
   /** Jobs without an open record in the sender's watch cache, with the revision of the cache. */
   none: [job: JobId, asOf: Revision][];
+  /**
+   * Jobs in `over` whose ends the sender does not know, as it has not read its watch cache yet. Empty in a
+   * reply of an older version.
+   */
+  unread: JobId[];
   /** Jobs in `open` or `none` that the sender has seen open, each with a revision that its end is later than. */
   endedAfter: [job: JobId, revision: Revision][];
   /**
@@ -126,6 +152,14 @@
    * most this revision. Null from a peer of an older version.
    */
   forgottenEndsUpTo: Revision | null;
+  /** The sender's process; null from a peer of an older version. */
+  incarnation: string | null;
+  /** Whether the reply grants a read lease: `ends` is complete. */
+  grantsReadLease: boolean;
+  /** Ends that the sender knows, and that neither the receiver nor a majority is known to know. */
+  ends: KnownEnd[];
+  /** The sender's unbroken read leases of peers. */
+  readLeases: ReadLease[];
 }
 
 /** An operation that a user may request for a job. */
--- a/packages/scheduler/src/protocol/users.ts
+++ b/packages/scheduler/src/protocol/users.ts
@@ -16,6 +16,9 @@
 /** A job's status as users see it. */
 export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
 
+/** How a job ended. */
+export type FinalStatus = Extract<JobStatus, 'done' | 'cancelled'>;
+
 /**
  * A job as its user specified it. The job's open record stores it under these field names, so renaming a
  * field would change the stored form.
@@ -171,6 +174,12 @@
   body: object;
 }
 
+/** Whether the answer tells a user that a job has ended. */
+export function reportsEnd({ body }: UserAnswer): boolean {
+  const { stato } = body as { stato?: unknown };
+  return stato === wireStatuses.done || stato === wireStatuses.cancelled;
+}
+
 /** Answers that do not depend on the job. */
 export const userAnswers = {
   malformed: { status: 400, body: { error: 'malformed' } } as UserAnswer,
--- a/packages/scheduler/test/jobs.test.ts
+++ b/packages/scheduler/test/jobs.test.ts
@@ -8,6 +8,7 @@
   TASK_RETRY_MAX_MS,
   TASK_RETRY_MS,
 } from '../src/constants.ts';
+import { EndAcknowledgements } from '../src/coordination/jobs/end-acknowledgements.ts';
 import { FailingJobBackoff } from '../src/coordination/jobs/failing-job-backoff.ts';
 import { FinalRecordReader } from '../src/coordination/jobs/final-record-reader.ts';
 import { FinishedJobs } from '../src/coordination/jobs/finished-jobs.ts';
@@ -116,19 +117,25 @@
 });
 
 describe('finished jobs', () => {
+  const self = 'node-0';
+  const done = { status: 'done', revision: null, tasks: 0 } as const;
+  const newCache = (): FinishedJobs =>
+    new FinishedJobs(new EndAcknowledgements(new FakeClock(), { self, majority: 1 }));
+
   it('are evicted oldest first', () => {
-    const finished = new FinishedJobs();
-    for (let n = 0; n <= FINISHED_JOBS_CACHED; n++) finished.add(`j-${String(n)}`, 'done');
+    const finished = newCache();
+    for (let n = 0; n <= FINISHED_JOBS_CACHED; n++) finished.add(`j-${String(n)}`, done, self);
     assert.ok(!finished.has('j-0'));
-    assert.equal(finished.get('j-1'), 'done');
-    assert.equal(finished.get(`j-${String(FINISHED_JOBS_CACHED)}`), 'done');
+    assert.equal(finished.end('j-1')?.status, 'done');
+    assert.equal(finished.end(`j-${String(FINISHED_JOBS_CACHED)}`)?.status, 'done');
   });
 
   // Guards against an answer that is older than one given: an evicted end may have been reported to its user.
   it('bound the revisions of the evicted ones, without a bound for an unknown revision', () => {
-    const finished = new FinishedJobs();
+    const finished = newCache();
     const add = (count: number, revision: number | null): void => {
-      for (let n = 0; n < count; n++) finished.add(`j-${String(revision)}-${String(n)}`, 'done', revision);
+      for (let n = 0; n < count; n++)
+        finished.add(`j-${String(revision)}-${String(n)}`, { ...done, revision }, self);
     };
     add(FINISHED_JOBS_CACHED, 7);
     assert.equal(finished.evictedUpTo, 0);
@@ -139,10 +146,10 @@
   });
 
   it('keep what is known of an end when it is learned again without', () => {
-    const finished = new FinishedJobs();
-    finished.add('j-1', 'done', 5, 20);
-    finished.add('j-1', 'done');
-    assert.equal(finished.revision('j-1'), 5);
+    const finished = newCache();
+    finished.add('j-1', { status: 'done', revision: 5, tasks: 20 }, self);
+    finished.add('j-1', done, self);
+    assert.equal(finished.end('j-1')?.revision, 5);
     assert.equal(finished.doneTasks('j-1'), 20);
   });
 });
