Leave polls that could reach no controller out of the check of forgotten jobs

Cause: the check. All five controllers are in one zone, cut off from users, store and cloud from 60 s to 70 s and from 72 s to 155 s. Trace: no store outage, no controller ended; from 72.1 s on all 18 polls, 65 cancellations and 4 submissions of all users ended without a connection. From the job's first failed poll on (62.5 s) 1 poll of all users was answered and 24 failed. Controllers that no user reaches cannot answer.

Change: a poll that ended without an answer counts neither as answered nor as failed if partitions separated the users from every controller, and all of them ran, for as long as it lasted. Nothing else is left out: one controller that no partition separates but that hangs, or one that has ended, makes the polls count as before (a test each).

--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -174,6 +174,7 @@
       if (key.startsWith('live/part/')) this.network.replayHeartbeats(addresses);
     };
     this.network.onPartitionChange(() => time.after(1, () => this.notifyConnectedControllers()));
+    this.network.onPartitionChange(() => this.updateUsersCutOff());
     for (const { type, zone, spot, count } of deployment.initial) {
       const spec = deployment.types.find((t) => t.name === type);
       for (let i = 0; spec && i < count; i++) this.cloud.add(spec, zone, spot, 0);
@@ -234,6 +235,7 @@
       signal: neverAborted.signal,
     });
     this.processes.set(node, { host, controller, servesFrom: this.time.now + startMs });
+    this.updateUsersCutOff();
     this.time.after(startMs, () => {
       if (host.status !== 'up') return;
       const serve = httpApi(controller);
@@ -279,9 +281,20 @@
     process.host.clock.ended = true;
     this.network.closeConnections(process.host);
     this.processes.delete(node);
+    this.updateUsersCutOff();
     this.excuseFactsLostEverywhere();
   }
 
+  /** Users are cut off while all controllers run, and a partition separates the users from each of them. */
+  private updateUsersCutOff(): void {
+    const { checker, network, processes, usersHost } = this;
+    const isCutOff =
+      processes.size === this.deployment.nodes.length &&
+      [...processes.values()].every(({ host }) => network.partitionBetween(usersHost, host) !== null);
+    if (!isCutOff) checker.usersCutOffSince = Infinity;
+    else checker.usersCutOffSince = Math.min(checker.usersCutOffSince, this.time.now);
+  }
+
   /** Makes the key-value store lose data. */
   loseData(loss: Loss): void {
     this.store.loseData(loss);
--- a/packages/emulator/test/fault-injection-and-checkers.test.ts
+++ b/packages/emulator/test/fault-injection-and-checkers.test.ts
@@ -251,6 +251,43 @@
     );
   });
 
+  /** The rules that users who poll find broken while the fault lasts, after twice its time of answered polls. */
+  async function rulesBrokenDuring(startFault: (world: TestCluster) => void): Promise<string[]> {
+    const world = await startWithFaults([]);
+    for (const id of ['j-1', 'j-2', 'j-3']) world.submit({ id, tasks: 1, cores: 1 }, 1000);
+    await world.run(200);
+    startFault(world);
+    await world.run(100);
+    return brokenRules(world.checker);
+  }
+
+  // `returns` seed 21, run 439: all nodes in one zone that is cut off.
+  it('do not count a job as forgotten while partitions separate the users from every controller', async () => {
+    const rules = await rulesBrokenDuring(({ network }) => {
+      network.startPartition('drop', (x, y) => x.kind === 'node' && y.kind !== 'node');
+    });
+    assert.deepEqual(rules, []);
+  });
+
+  it('count a job as forgotten if a controller that no partition separates from the users is silent', async () => {
+    const rules = await rulesBrokenDuring((world) => {
+      world.network.startPartition(
+        'drop',
+        (x, y) => x.name !== 'node-2' && x.kind === 'node' && y.kind === 'users',
+      );
+      world.freezeController(2, 100_000);
+    });
+    assert.ok(rules.length > 0 && rules.every((rule) => rule === 'forgotten'), rules.join());
+  });
+
+  it('count a job as forgotten if a controller has ended beside a partition from the others', async () => {
+    const rules = await rulesBrokenDuring((world) => {
+      world.network.startPartition('drop', (x, y) => x.kind === 'node' && y.kind === 'users');
+      world.killController(2);
+    });
+    assert.ok(rules.length > 0 && rules.every((rule) => rule === 'forgotten'), rules.join());
+  });
+
   it('get a different invalid submission for each kind of invalid request', () => {
     const submission = JSON.parse(invalidSubmission(plainJob, 'id')) as object;
     assert.ok(!('id' in submission) && 'cores' in submission);
