--- a/packages/emulator/src/invariant-checker.ts
+++ b/packages/emulator/src/invariant-checker.ts
@@ -3,8 +3,9 @@
  * that shows whether two runs had the same history.
  */
 import { createHash, type Hash } from 'node:crypto';
-import { FORGOTTEN_FAULT_FREE_MS, FORGOTTEN_MS, FORGOTTEN_POLLS, ROUNDING } from './constants.ts';
+import { ROUNDING } from './constants.ts';
 import type { EndReason, InvalidRequestKind, JobState } from './protocol/wire.ts';
+import { PollFailures } from './poll-failures.ts';
 import type { VirtualTime } from './time.ts';
 import type { TaskObserver, Worker } from './worker.ts';
 import type { Work, Workload } from './workload.ts';
@@ -85,13 +86,6 @@
   cancelRequested: boolean;
   /** Whether a submission was answered 422: the job can never run. */
   refused: boolean;
-  /**
-   * When the first poll after the last answered one failed. Reset to infinity when a violation is reported
-   * for it.
-   */
-  failedSince: number;
-  /** Polls that failed since the last answered one. */
-  failedPolls: number;
 }
 
 /**
@@ -120,18 +114,14 @@
   private readonly everStarted = new Set<string>();
   /** Completed tasks of batch jobs whose results a worker was told to forget. */
   private readonly forgottenResults = new Set<string>();
-  /** Polls of all users, to distinguish one job without answers from an outage for all users. */
-  private readonly polls = { answered: 0, failed: 0 };
+  /** Users' polls, for the rule `forgotten`. */
+  readonly polls = new PollFailures();
   /** Starts of tasks after an answer that their job is cancelled. They break a rule only after `cancelMs`. */
   startsAfterCancelled = 0;
   /** Called when an answer first reports that a job is accepted, or that it has ended. */
   onStateLearned: (id: string) => void = () => {};
   /** Called when the last task of a job ends with its result. */
   onAllTasksDone: (id: string) => void = () => {};
-  /** Since when no fault has been active; infinite while faults may be active. */
-  faultFreeSince = Infinity;
-  /** Since when partitions have separated the users from every controller; infinite while some is reachable. */
-  usersCutOffSince = Infinity;
   /** By job: when its first task started. */
   readonly firstStarts = new Map<string, number>();
   /**
@@ -314,8 +304,6 @@
       final: null,
       cancelRequested: false,
       refused: false,
-      failedSince: Infinity,
-      failedPolls: 0,
     };
     this.jobs.set(id, made);
     return made;
@@ -359,8 +347,7 @@
     this.record('answer', id, request, status, state);
     const job = this.historyOf(id);
     const work = this.workload.get(id);
-    const isCutOff = status === 0 && this.usersCutOffSince <= sentAt;
-    if (request === 'poll' && !isCutOff) this.checkPolls(id, job, status === 200 || status === 404);
+    if (request === 'poll') this.checkPoll(id, job, sentAt, status);
     if (status === 404 && sentAt >= job.acceptedAt && !this.unrecoverableFacts.acceptance.has(id))
       this.reportViolation('forgotten', [id, request, status], `${id}: ${request} answered 404`);
     if (request === 'submit' && (status === 400 || status === 422) && sentAt >= job.acceptedAt)
@@ -441,43 +428,15 @@
     }
   }
 
-  /**
-   * Checks the rule `forgotten` for the polls of a job: every poll fails for `FORGOTTEN_MS` although most
-   * polls of the run are answered, or for `FORGOTTEN_FAULT_FREE_MS` without an active fault. A poll that could
-   * reach no controller counts neither as answered nor as failed.
-   */
-  private checkPolls(id: string, job: JobHistory, answered: boolean): void {
-    if (answered) {
-      this.polls.answered++;
-      job.failedSince = Infinity;
-      job.failedPolls = 0;
-      return;
-    }
-    this.polls.failed++;
-    job.failedPolls++;
-    job.failedSince = Math.min(job.failedSince, this.time.now);
-    // Answers to other users do not matter here, as no active fault can be the reason.
-    const faultFreeMs = this.time.now - Math.max(job.failedSince, this.faultFreeSince);
-    if (
-      faultFreeMs >= FORGOTTEN_FAULT_FREE_MS &&
-      job.acceptedAt !== Infinity &&
-      job.final?.state !== 'cancelled'
-    ) {
-      this.reportViolation(
-        'forgotten',
-        [id, 'unanswered', FORGOTTEN_FAULT_FREE_MS],
-        `${id}: no answer for ${String(FORGOTTEN_FAULT_FREE_MS / 1000)} s while no fault was active`,
-      );
-      job.failedSince = Infinity;
-      return;
-    }
-    if (this.time.now - job.failedSince < FORGOTTEN_MS || job.failedPolls < FORGOTTEN_POLLS) return;
-    if (this.polls.answered <= this.polls.failed) return;
-    this.reportViolation(
-      'forgotten',
-      [id, 'polls_failed', FORGOTTEN_MS],
-      `${id}: every poll failed for ${String(FORGOTTEN_MS / 1000)} s`,
-    );
-    job.failedSince = Infinity;
+  /** Checks the rule `forgotten`. A poll that could reach no controller counts neither as answered nor as failed. */
+  private checkPoll(id: string, job: JobHistory, sentAt: number, status: number): void {
+    const { polls, time } = this;
+    if (status === 200 || status === 404) return polls.onAnswered(id);
+    if (status === 0 && polls.couldReachNoController(sentAt)) return;
+    const mustBeAnswered = job.acceptedAt !== Infinity && job.final?.state !== 'cancelled';
+    const forgotten = polls.onFailed(id, time.now, mustBeAnswered);
+    if (!forgotten) return;
+    const { afterMs, code, detail } = forgotten;
+    this.reportViolation('forgotten', [id, code, afterMs], `${id}: ${detail}`);
   }
 }
--- /dev/null
+++ b/packages/emulator/src/poll-failures.ts
@@ -0,0 +1,72 @@
+/** Users' polls of their jobs, and which jobs count as forgotten because polls fail for too long. */
+import { FORGOTTEN_FAULT_FREE_MS, FORGOTTEN_MS, FORGOTTEN_POLLS } from './constants.ts';
+
+/** The polls of one job since the last answered one. */
+interface FailedPolls {
+  /** When the first of them failed; infinite if none has, or once a violation has been reported for them. */
+  since: number;
+  count: number;
+}
+
+/** Why a job counts as forgotten; the code is part of a run's digest. */
+export interface ForgottenJob {
+  readonly code: 'unanswered' | 'polls_failed';
+  /** For how long every poll had to fail. */
+  readonly afterMs: number;
+  readonly detail: string;
+}
+
+/** Counts the polls of one run. Times are virtual milliseconds. */
+export class PollFailures {
+  /** Polls of all users, to distinguish one job without answers from an outage for all users. */
+  private answered = 0;
+  private failed = 0;
+  private readonly failedPolls = new Map<string, FailedPolls>();
+  /** Since when no fault has been active; infinite while faults may be active. */
+  faultFreeSince = Infinity;
+  /** Since when partitions have separated the users from every controller; infinite while some is reachable. */
+  usersCutOffSince = Infinity;
+
+  /** A poll of the job was answered: with its state, or with 404. */
+  onAnswered(id: string): void {
+    this.answered++;
+    this.failedPolls.delete(id);
+  }
+
+  /**
+   * A poll of the job failed. Returns why the job now counts as forgotten, or null: every poll has failed for
+   * `FORGOTTEN_MS` although most polls of the run are answered or, if `mustBeAnswered`, for
+   * `FORGOTTEN_FAULT_FREE_MS` without an active fault.
+   */
+  onFailed(id: string, now: number, mustBeAnswered: boolean): ForgottenJob | null {
+    this.failed++;
+    const polls = this.failedPolls.get(id) ?? { since: Infinity, count: 0 };
+    this.failedPolls.set(id, polls);
+    polls.count++;
+    polls.since = Math.min(polls.since, now);
+    const forgotten = this.forgottenFaultFree(polls, now, mustBeAnswered) ?? this.forgottenAlone(polls, now);
+    if (forgotten) polls.since = Infinity;
+    return forgotten;
+  }
+
+  /** Whether a poll without an answer could reach no controller from when it was sent on. */
+  couldReachNoController(sentAt: number): boolean {
+    return this.usersCutOffSince <= sentAt;
+  }
+
+  /** Answers to other users do not matter here, as no active fault can be the reason. */
+  private forgottenFaultFree(polls: FailedPolls, now: number, mustBeAnswered: boolean): ForgottenJob | null {
+    const faultFreeMs = now - Math.max(polls.since, this.faultFreeSince);
+    if (!mustBeAnswered || faultFreeMs < FORGOTTEN_FAULT_FREE_MS) return null;
+    const seconds = String(FORGOTTEN_FAULT_FREE_MS / 1000);
+    const detail = `no answer for ${seconds} s while no fault was active`;
+    return { code: 'unanswered', afterMs: FORGOTTEN_FAULT_FREE_MS, detail };
+  }
+
+  private forgottenAlone(polls: FailedPolls, now: number): ForgottenJob | null {
+    if (now - polls.since < FORGOTTEN_MS || polls.count < FORGOTTEN_POLLS) return null;
+    if (this.answered <= this.failed) return null;
+    const detail = `every poll failed for ${String(FORGOTTEN_MS / 1000)} s`;
+    return { code: 'polls_failed', afterMs: FORGOTTEN_MS, detail };
+  }
+}
--- a/packages/emulator/src/simulated-run.ts
+++ b/packages/emulator/src/simulated-run.ts
@@ -118,7 +118,7 @@
     this.scheduleQueryOfUnknownJob();
     await this.runToLastPlannedEvent();
     this.injector.clear();
-    this.checker.faultFreeSince = this.cluster.time.now;
+    this.checker.polls.faultFreeSince = this.cluster.time.now;
     await this.runUntilSettled();
     if (!this.isStopped) await this.checkFinalState();
     const served = countServed(this.cluster.workload.values(), this.checker);
--- a/packages/emulator/test/fault-injection.test.ts
+++ b/packages/emulator/test/fault-injection.test.ts
@@ -127,7 +127,7 @@
     };
     await pollFor(200);
     assert.deepEqual(checker.violations, [], 'a fault may be the reason, and no other user is answered');
-    checker.faultFreeSince = time.now;
+    checker.polls.faultFreeSince = time.now;
     await pollFor(70);
     assert.deepEqual(checker.violations, []);
     await pollFor(10);
