Start a read lease before its request is sent, not after

Found by reading. A lease of a peer counts from the request for it, but the time was taken after the request had been sent. A pause of the process between the two (a garbage collection) would have let the lease last longer than the peer's promise, by the length of the pause; the margin for two clocks' drift covers 20 ms of it.

The request is now recorded first. The test, a peer that replies at once, failed before and passes now.

--- a/packages/scheduler/src/coordination/jobs/end-reporting.ts
+++ b/packages/scheduler/src/coordination/jobs/end-reporting.ts
@@ -65,8 +65,9 @@
    */
   renew(): void {
     const { endAcknowledgements, readLeases } = this.context;
-    const requestId = this.ask(endAcknowledgements.jobs(END_ACKNOWLEDGEMENT_BATCH));
+    const requestId = this.nextRequestId();
     readLeases.onRequested(requestId);
+    this.ask(requestId, endAcknowledgements.jobs(END_ACKNOWLEDGEMENT_BATCH));
   }
 
   /** A peer has replied to a request for its observations; late replies count too, as ends are final. */
@@ -88,17 +89,18 @@
     const { clock, signal } = this.context;
     while (this.waiters.size > 0 && !signal.aborted) {
       const jobIds = new Set([...this.waiters].map(({ jobId }) => jobId));
-      this.ask([...jobIds].slice(0, END_ACKNOWLEDGEMENT_BATCH));
+      this.ask(this.nextRequestId(), [...jobIds].slice(0, END_ACKNOWLEDGEMENT_BATCH));
       await clock.sleep(END_ACKNOWLEDGEMENT_GAP_MS, signal);
     }
     this.isAsking = false;
   }
 
-  private ask(jobIds: JobId[]): string {
-    const { peers, self } = this.context;
-    const requestId = `${self.incarnation}/e${String(++this.requestCount)}`;
-    peers.broadcast({ kind: 'observationRequest', requestId, jobIds });
-    return requestId;
+  private nextRequestId(): string {
+    return `${this.context.self.incarnation}/e${String(++this.requestCount)}`;
+  }
+
+  private ask(requestId: string, jobIds: JobId[]): void {
+    this.context.peers.broadcast({ kind: 'observationRequest', requestId, jobIds });
   }
 
   /** Notifies a peer again of an end that it does not know, if this node knows it. */
--- a/packages/scheduler/src/coordination/leadership/peer-read-leases.ts
+++ b/packages/scheduler/src/coordination/leadership/peer-read-leases.ts
@@ -40,7 +40,7 @@
 
   constructor(private readonly context: PeerReadLeasesContext) {}
 
-  /** A request has been sent to all peers. Replies to earlier ones no longer grant leases. */
+  /** A request is about to be sent to all peers. Replies to earlier ones no longer grant leases. */
   onRequested(requestId: string): void {
     this.request = { id: requestId, sentAt: this.context.clock.now() };
   }
--- a/packages/scheduler/test/reported-ends.test.ts
+++ b/packages/scheduler/test/reported-ends.test.ts
@@ -5,6 +5,7 @@
   EndAcknowledgements,
   REPORT_WITHOUT_MAJORITY_MS,
 } from '../src/coordination/jobs/end-acknowledgements.ts';
+import { EndReporting } from '../src/coordination/jobs/end-reporting.ts';
 import { FinishedJobs } from '../src/coordination/jobs/finished-jobs.ts';
 import { ObservationResponder } from '../src/coordination/leadership/observation-responder.ts';
 import { PeerReadLeases } from '../src/coordination/leadership/peer-read-leases.ts';
@@ -141,6 +142,34 @@
   });
 });
 
+describe('a request for acknowledgements', () => {
+  // A lease counts from the request: recorded later, it would last beyond what the peer has promised.
+  it('is recorded for the read leases before any peer can reply', () => {
+    const clock = new FakeClock();
+    const readLeases = new PeerReadLeases({
+      clock,
+      watchCache: { confirmedAt: clock.now(), currentRevision: 7 },
+    });
+    const endAcknowledgements = new EndAcknowledgements(clock, { self: 'a', majority: 2 });
+    const sendToPeer: PeerTransport['sendToPeer'] = (peer, message) => {
+      const { requestId } = decodePeerMessage(message) as ObservationReply;
+      readLeases.onReply(peer, { ...emptyReply, requestId });
+      return true;
+    };
+    const reporting = new EndReporting({
+      clock,
+      signal: new AbortController().signal,
+      self: { name: 'a', zone: 'z', incarnation: 'a1' },
+      peers: new PeerChannel({ sendToPeer, connectedPeers: () => ['b'] }, ['b']),
+      finishedJobs: new FinishedJobs(endAcknowledgements),
+      endAcknowledgements,
+      readLeases,
+    });
+    reporting.renew();
+    assert.deepEqual(readLeases.unbroken(), [{ node: 'b', incarnation: 'b1', fromRevision: 7 }]);
+  });
+});
+
 describe('the end of a job is unreported', () => {
   const open: JobObservation = { kind: 'open', version: 5, endedAfter: 9 };
   const unread: JobObservation = { kind: 'unread', forgottenEndsUpTo: 0 };
