Acknowledge ends in the node's record while a peer is silent

Cause: no node got an acknowledgement, though all reached the key-value store.

A node that has had no reply of a live peer for 2.5 s now puts the revision of its watch cache into its own record, once a second. A node that has seen the open record deleted counts towards the majority; so in a unanimous read with unread nodes only those count against a majority that still see the job as open (docs/design.md, with the proof). The stored record gets one optional field; older versions ignore it.

A scenario ("a job that ends while controllers reach only the store") and a mutant of it; the mutant shows that the scenario failed before.

--- a/packages/emulator/test/explorer-digests.test.ts
+++ b/packages/emulator/test/explorer-digests.test.ts
@@ -13,13 +13,13 @@
     'small',
     [
       '888c989da75128ae24f319b331f6315d63a0d26ecadc3d1bd2f6e3d7c87898be',
-      'ab1b730b468e11ff6604ee47b1a2299e6d07fe247d709d8384e5377fa99d09d5',
+      'fe17049a9a88912f651cb0fa75c15da0f89e5680df8be1ce3f439f4fbc1bcd1a',
     ],
   ],
   [
     'storm',
     [
-      'da264e3a9f71610c89eaee0cdb292e128984df2d5ee368e588f2e208e668bc36',
+      '86668371cb51a8f6b3b647606c187990d80415afa06289e0332be77825e96d08',
       '707786a0dc88ea1da76ebaa5455a609bc6c913408dadda8980e368b40a0be86c',
     ],
   ],
@@ -27,14 +27,14 @@
     'strangers',
     [
       '460833c18376a5aa7f20f9a7b1663fe1b4e492f1143bb33f26b1d8775856a120',
-      '7a453dbd4f50e89a8ede89b2996d7b32eb52c71622e3e4915f232e3799ae6969',
+      '8086e50faa1106cfedbb292c8005ba91da17fd085dc72312eb9a3537a27079b8',
     ],
   ],
   [
     'meetings',
     [
-      '9c9437c6c327a99e7b51e4994d409715d80185e3ca8f7054d592c37ea252ee06',
-      '57fd092874f9d5a3c5d3d4412394d7a3e96896cd0b41c516810be579b84c64c9',
+      '07f54248c91940510e304e207de6d57cefbc7fe8bbab2c664b14944a2f0f82ea',
+      '1151219a17af842cd0e906448423ab4fd4d2b88a95e03bef080d285fd1534be8',
     ],
   ],
 ];
@@ -56,7 +56,7 @@
     );
     assert.equal(
       runDigest(digests.flatMap(([, each]) => each)),
-      '257ce1c3c3597e32c9d20e9357304d43f11475a88a061142059e82846d5f0e48',
+      '543add792313cdb047be143596fcb1596baf74683858482886bf62e18d50c2e9',
     );
   });
 });
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -390,6 +390,13 @@
     put: '',
     detectedBy: { scenario: 'a cancellation told by a majority whose nodes restart in a store outage' },
   },
+  {
+    name: 'ends not acknowledged in the record of a node whose peers are silent',
+    file: 'coordination/leadership/node-registration.ts',
+    find: 'endReporting.hasSilentPeer ? watchCache.currentRevision : null',
+    put: 'null',
+    detectedBy: { scenario: 'a job that ends while controllers reach only the store' },
+  },
   {
     name: 'read leases that never expire',
     file: 'coordination/leadership/peer-read-leases.ts',
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -277,6 +277,25 @@
   return violationsAfterCompletion(cluster);
 }
 
+/**
+ * Guards against ends that users learn late: no controller reaches another, all reach the key-value store, and a
+ * job ends. Each controller tells the end 3 s later, as the protocol allows.
+ */
+async function endWithoutMessages(): Promise<Violation[]> {
+  const cluster = await startCluster();
+  const heal = cluster.network.startPartition('drop', (x, y) => x.kind === 'node' && y.kind === 'node');
+  await cluster.run(6);
+  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
+  await cluster.until('the job ends', () => cluster.store.read('job/j-1') !== undefined, 30, 5);
+  await cluster.run(3);
+  for (const node of [0, 1, 2]) {
+    const isAnswered = (await countAnswered(cluster, [node])) === 1;
+    if (!isAnswered) cluster.checker.reportViolation('forgotten', ['j-1', node], 'the end is not told');
+  }
+  heal();
+  return violationsAfterCompletion(cluster);
+}
+
 /** A controller restarts and has loaded its watch cache again. */
 async function restartSecondController(cluster: ScenarioCluster): Promise<void> {
   cluster.killController(1);
@@ -297,5 +316,6 @@
   'restarts in a store outage, with jobs polled throughout': restartsInOutage,
   'a cancellation told by a majority whose nodes restart in a store outage': restartOfMajority,
   'an unanswered cancellation and a restart, seconds before a store outage': unansweredCancellationAndRestart,
+  'a job that ends while controllers reach only the store': endWithoutMessages,
   'a job whose end one node knows, polled at the others in a store outage': endKnownToOneNode,
 };
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -348,6 +348,11 @@
 export const READ_LEASE_MS = 20_000;
 /** Milliseconds between requests that renew the read leases and ask for acknowledgements. */
 export const READ_LEASE_RENEWAL_MS = 1000;
+/**
+ * Milliseconds without a reply of a peer that is up after which this node acknowledges ends in its own record,
+ * at a write each second.
+ */
+export const PEER_SILENT_MS = 2500;
 /** Ends. Maximum that a request asks about, and that a reply lists. */
 export const END_ACKNOWLEDGEMENT_BATCH = 200;
 /** Milliseconds that a user's request waits for peers to acknowledge the end of its job. */
--- a/packages/scheduler/src/coordination/jobs/end-acknowledgements.ts
+++ b/packages/scheduler/src/coordination/jobs/end-acknowledgements.ts
@@ -3,6 +3,7 @@
  * the nodes knows it: docs/design.md, "Reported ends", has the reason and the proof.
  */
 import { CLOCK_DRIFT, READ_LEASE_MS } from '../../constants.ts';
+import type { Revision } from '../../protocol/key-value.ts';
 import type { JobId } from '../../protocol/users.ts';
 import type { Clock } from '../../transport/clock.ts';
 
@@ -12,10 +13,15 @@
  */
 export const REPORT_WITHOUT_MAJORITY_MS = READ_LEASE_MS * (1 + 2 * CLOCK_DRIFT);
 
-/** An end that a majority of the nodes is not known to know. */
+/** An end that a majority of the nodes is not known to know or to have seen. */
 interface UnacknowledgedEnd {
   readonly learnedAt: number;
-  /** Nodes that know the end, or whose earlier process knew it; this one included. */
+  /** Revision of the final record; null if it is not known. */
+  readonly revision: Revision | null;
+  /**
+   * Nodes that know the end or have seen that there is no open record any more, or whose earlier process did;
+   * this one included.
+   */
   readonly knownBy: Set<string>;
 }
 
@@ -33,6 +39,8 @@
 export class EndAcknowledgements {
   private readonly unacknowledged = new Map<JobId, UnacknowledgedEnd>();
   private hasDroppedEnd = false;
+  /** The newest revision that each node has stated in its record to have seen. */
+  private readonly seenRevisions = new Map<string, Revision>();
 
   constructor(
     private readonly clock: Clock,
@@ -40,10 +48,19 @@
   ) {}
 
   /** This process has learned the job's end from `source`: a peer, or itself if it has read or written it. */
-  onLearned(jobId: JobId, source: string): void {
+  onLearned(jobId: JobId, source: string, revision: Revision | null): void {
     const knownBy = new Set([this.nodes.self, source]);
+    for (const [node, seen] of this.seenRevisions)
+      if (revision !== null && revision <= seen) knownBy.add(node);
     if (knownBy.size < this.nodes.majority)
-      this.unacknowledged.set(jobId, { learnedAt: this.clock.now(), knownBy });
+      this.unacknowledged.set(jobId, { learnedAt: this.clock.now(), revision, knownBy });
+  }
+
+  /** The node's watch cache has had this revision: it has seen that the jobs that ended until then are over. */
+  onSeen(node: string, seen: Revision): void {
+    this.seenRevisions.set(node, seen);
+    for (const [jobId, { revision }] of this.unacknowledged)
+      if (revision !== null && revision <= seen) this.onAcknowledged(jobId, node);
   }
 
   /** The node knows the job's end, or its earlier process did. */
--- a/packages/scheduler/src/coordination/jobs/end-reporting.ts
+++ b/packages/scheduler/src/coordination/jobs/end-reporting.ts
@@ -6,11 +6,13 @@
   END_ACKNOWLEDGEMENT_BATCH,
   END_ACKNOWLEDGEMENT_DEADLINE_MS,
   END_ACKNOWLEDGEMENT_GAP_MS,
+  PEER_SILENT_MS,
 } from '../../constants.ts';
 import type { ObservationReply } from '../../protocol/peer-messages.ts';
 import type { JobId } from '../../protocol/users.ts';
 import type { Clock } from '../../transport/clock.ts';
-import type { NodeIdentity } from '../leadership/membership.ts';
+import type { NodeRecord } from '../../storage/records.ts';
+import type { Membership, NodeIdentity } from '../leadership/membership.ts';
 import type { PeerReadLeases } from '../leadership/peer-read-leases.ts';
 import type { PeerChannel } from '../peer-channel.ts';
 import type { EndAcknowledgements } from './end-acknowledgements.ts';
@@ -24,6 +26,7 @@
   readonly signal: AbortSignal;
   readonly self: NodeIdentity;
   readonly peers: PeerChannel;
+  readonly membership: Membership;
   readonly finishedJobs: FinishedJobs;
   readonly endAcknowledgements: EndAcknowledgements;
   readonly readLeases: PeerReadLeases;
@@ -40,6 +43,8 @@
   private readonly waiters = new Set<Waiter>();
   private isAsking = false;
   private requestCount = 0;
+  /** When each peer replied last, in milliseconds of the clock. */
+  private readonly lastReplies = new Map<string, number>();
 
   constructor(private readonly context: EndReportingContext) {}
 
@@ -72,13 +77,37 @@
 
   /** A peer has replied to a request for its observations; late replies count too, as ends are final. */
   onReply(from: string, reply: ObservationReply): void {
-    const { endAcknowledgements } = this.context;
+    const { clock, endAcknowledgements } = this.context;
+    this.lastReplies.set(from, clock.now());
     const unread = new Set(reply.unread);
     for (const jobId of reply.over) {
       if (unread.has(jobId)) this.notify(from, jobId);
       else endAcknowledgements.onAcknowledged(jobId, from);
     }
     for (const [jobId] of [...reply.open, ...reply.none]) this.notify(from, jobId);
+    this.wakeWaiters();
+  }
+
+  /** A node's record has changed: it may acknowledge ends. */
+  onNode(node: string, record: NodeRecord | null): void {
+    if (record?.seenRevision === undefined || node === this.context.self.name) return;
+    this.context.endAcknowledgements.onSeen(node, record.seenRevision);
+    this.wakeWaiters();
+  }
+
+  /** Whether a peer that is up does not reply: it gets no acknowledgement of this node by messages. */
+  get hasSilentPeer(): boolean {
+    const { clock, membership, peers } = this.context;
+    return peers.names.some((name) => {
+      const upSince = membership.liveNode(name)?.since;
+      if (upSince === undefined) return false;
+      const lastReplyAt = this.lastReplies.get(name) ?? -Infinity;
+      return clock.now() - Math.max(upSince, lastReplyAt) > PEER_SILENT_MS;
+    });
+  }
+
+  private wakeWaiters(): void {
+    const { endAcknowledgements } = this.context;
     for (const { jobId, wake } of this.waiters) if (endAcknowledgements.isReportable(jobId)) wake();
   }
 
--- a/packages/scheduler/src/coordination/jobs/finished-jobs.ts
+++ b/packages/scheduler/src/coordination/jobs/finished-jobs.ts
@@ -57,7 +57,7 @@
       tasks: tasks === 0 ? (known?.tasks ?? 0) : tasks,
     });
     if (known) this.acknowledgements.onAcknowledged(jobId, source);
-    else this.acknowledgements.onLearned(jobId, source);
+    else this.acknowledgements.onLearned(jobId, source, revision);
     if (this.jobs.size > FINISHED_JOBS_CACHED) this.evictOldest();
   }
 
--- a/packages/scheduler/src/coordination/leadership/node-registration.ts
+++ b/packages/scheduler/src/coordination/leadership/node-registration.ts
@@ -4,13 +4,14 @@
  * docs/design.md, "Leadership" and "Restart under the same name".
  */
 import { NODE_LEASE_MS, NODE_LEASE_RENEWAL_MS } from '../../constants.ts';
-import type { ExactInteger } from '../../protocol/json.ts';
+import { type ExactInteger, stringifyJson } from '../../protocol/json.ts';
 import type { KeyValueStore } from '../../storage/key-value-store.ts';
 import type { WatchCache } from '../../storage/watch-cache.ts';
 import { encodeNode } from '../../storage/record-codec.ts';
 import { nodeKey, type NodeRecord } from '../../storage/records.ts';
 import type { Clock } from '../../transport/clock.ts';
 import { type Log, runPeriodically } from '../../transport/background-task.ts';
+import type { EndReporting } from '../jobs/end-reporting.ts';
 import type { NodeIdentity } from './membership.ts';
 import type { Reachability } from './reachability.ts';
 import type { ShardMapGuard } from './shard-map-guard.ts';
@@ -24,6 +25,7 @@
   readonly watchCache: WatchCache;
   readonly reachability: Reachability;
   readonly shardMapGuard: ShardMapGuard;
+  readonly endReporting: EndReporting;
 }
 
 /** Keeps the node's lease alive and its record up to date. */
@@ -33,6 +35,8 @@
   private written: { lease: ExactInteger; value: NodeRecord; version: ExactInteger } | null = null;
   private isWriting = false;
   private isLoaded = false;
+  /** The revision that the record states to have seen; set once a renewal, as each write raises it. */
+  private seenRevision: ExactInteger | null = null;
 
   constructor(private readonly context: NodeRegistrationContext) {}
 
@@ -82,8 +86,9 @@
       incarnation: self.incarnation,
       unreachable: reachability.unreachableShards,
       reachable: reachability.reachableShards,
+      ...(this.seenRevision === null ? {} : { seenRevision: this.seenRevision }),
     };
-    if (this.written?.lease === lease && JSON.stringify(this.written.value) === JSON.stringify(value)) return;
+    if (this.written?.lease === lease && stringifyJson(this.written.value) === stringifyJson(value)) return;
     const key = nodeKey(self.name);
     const precondition = { key, version: this.written?.version ?? watchCache.version(key) };
     this.isWriting = true;
@@ -106,7 +111,8 @@
   }
 
   private async keepLease(): Promise<void> {
-    const { store, log, shardMapGuard } = this.context;
+    const { endReporting, store, log, shardMapGuard, watchCache } = this.context;
+    this.seenRevision = endReporting.hasSilentPeer ? watchCache.currentRevision : null;
     // The lease is left to expire, so that no peer hands a shard over to this node.
     if (shardMapGuard.hasForeignShardMap) return void (this.lease = null);
     try {
--- a/packages/scheduler/src/coordination/leadership/unreported-end.ts
+++ b/packages/scheduler/src/coordination/leadership/unreported-end.ts
@@ -76,8 +76,11 @@
   const witnesses = nodes.filter((node) => hasReportedNone(node, lastOpenAt));
   if (witnesses.length + unread.length < nodes.length) return false;
   if (unread.length === 0) return true;
-  // A process of an older version may have counted as acknowledging an end that it does not know.
-  const acknowledging = witnesses.filter(({ incarnation }) => incarnation !== null);
+  // A process of an older version may have counted as acknowledging an end that it does not know. And a node
+  // that has seen the open record deleted acknowledges the end.
+  const acknowledging = witnesses.filter(
+    ({ incarnation, observation }) => incarnation !== null && observation.kind === 'open',
+  );
   const maxKnowing = nodes.length - acknowledging.length;
   return (
     maxKnowing < majority &&
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -7,6 +7,7 @@
 import type { ExactInteger } from '../protocol/json.ts';
 import type { Clock } from '../transport/clock.ts';
 import type { Log } from '../transport/background-task.ts';
+import type { EndReporting } from './jobs/end-reporting.ts';
 import type { FailingJobs } from './jobs/failing-jobs.ts';
 import type { FinalRecordReader } from './jobs/final-record-reader.ts';
 import type { JobCompletion } from './jobs/job-completion.ts';
@@ -35,6 +36,7 @@
   readonly watchCache: WatchCache;
   readonly jobCompletion: JobCompletion;
   readonly finalRecords: FinalRecordReader;
+  readonly endReporting: EndReporting;
   readonly failingJobs: FailingJobs;
   readonly quotas: Quotas;
 }
@@ -76,6 +78,7 @@
       case 'node':
         this.context.registration.onNode(change.name, change.record);
         membership.onNode(change.name, change.record);
+        this.context.endReporting.onNode(change.name, change.record);
         if (this.isComplete && membership.unreachedByLeader.length > 0) void this.context.prober.probeAll();
         return heartbeats.wake();
       case 'leadership':
--- a/packages/scheduler/src/storage/record-codec.ts
+++ b/packages/scheduler/src/storage/record-codec.ts
@@ -7,6 +7,7 @@
  * `ZodError` for a malformed value.
  */
 import * as z from 'zod/mini';
+import { exactInteger } from '../protocol/schema.ts';
 import type {
   JobRecord,
   LiveRecord,
@@ -46,6 +47,7 @@
   unreachable: z.array(z.string()),
   // Controllers of an older version do not write this field.
   reaches: z._default(z.array(z.string()), []),
+  seen: z.optional(exactInteger),
 });
 const storedLeadership = z.object({
   owner: z.string(),
@@ -77,7 +79,9 @@
 
 /** The stored form of a node's record. */
 export function encodeNode(record: NodeRecord): object {
-  return { incarnation: record.incarnation, unreachable: record.unreachable, reaches: record.reachable };
+  const { incarnation, reachable, seenRevision, unreachable } = record;
+  const seen = seenRevision === undefined ? {} : { seen: seenRevision };
+  return { incarnation, unreachable, reaches: reachable, ...seen };
 }
 
 /** The stored form of the record that makes a node the leader of a shard. */
@@ -118,7 +122,13 @@
 
 function decodeNode(value: unknown): NodeRecord {
   const stored = z.parse(storedNode, value);
-  return { incarnation: stored.incarnation, unreachable: stored.unreachable, reachable: stored.reaches };
+  const { incarnation, reaches, seen, unreachable } = stored;
+  return {
+    incarnation,
+    unreachable,
+    reachable: reaches,
+    ...(seen === undefined ? {} : { seenRevision: seen }),
+  };
 }
 
 function decodeLeadership(value: unknown): LeadershipRecord {
--- a/packages/scheduler/src/storage/records.ts
+++ b/packages/scheduler/src/storage/records.ts
@@ -5,6 +5,7 @@
  * are kept for ever, and cost nothing until a user asks for one. `record-codec.ts` defines the stored form.
  */
 import { SLICE_RECORD_OVERHEAD_BYTES } from '../constants.ts';
+import type { Revision } from '../protocol/key-value.ts';
 import type { ShardId } from '../protocol/peer-messages.ts';
 import type { JobId, JobSpec } from '../protocol/users.ts';
 import type { FencingToken, MachineId } from '../protocol/workers.ts';
@@ -22,6 +23,11 @@
   unreachable: ShardId[];
   /** Shards that their leaders cannot reach but of which a machine has answered this controller. */
   reachable: ShardId[];
+  /**
+   * The revision of this controller's watch cache. Only while a peer is silent: the record then acknowledges
+   * the ends up to this revision in place of messages (docs/design.md, "Reported ends").
+   */
+  seenRevision?: Revision;
 }
 
 /** The process that leads a shard: a controller and one of its starts. */
--- a/packages/scheduler/test/reported-ends.test.ts
+++ b/packages/scheduler/test/reported-ends.test.ts
@@ -7,6 +7,7 @@
 } from '../src/coordination/jobs/end-acknowledgements.ts';
 import { EndReporting } from '../src/coordination/jobs/end-reporting.ts';
 import { FinishedJobs } from '../src/coordination/jobs/finished-jobs.ts';
+import { Membership } from '../src/coordination/leadership/membership.ts';
 import { ObservationResponder } from '../src/coordination/leadership/observation-responder.ts';
 import { PeerReadLeases } from '../src/coordination/leadership/peer-read-leases.ts';
 import {
@@ -42,7 +43,7 @@
 
   it('once a majority knows it, the node that told it included', () => {
     const { ends } = startNode(3);
-    ends.onLearned('j-1', 'b');
+    ends.onLearned('j-1', 'b', 5);
     assert.ok(!ends.isReportable('j-1'));
     ends.onAcknowledged('j-1', 'b');
     assert.ok(!ends.isReportable('j-1'), 'an acknowledgement that is repeated counts once');
@@ -51,9 +52,23 @@
     assert.deepEqual(ends.jobs(9), []);
   });
 
+  it('once the records of a majority show that they have seen it', () => {
+    const { ends } = startNode(3);
+    ends.onLearned('j-1', 'a', 5);
+    ends.onSeen('b', 4);
+    ends.onSeen('c', 6);
+    assert.ok(!ends.isReportable('j-1'));
+    ends.onSeen('b', 5);
+    assert.ok(ends.isReportable('j-1'));
+    ends.onLearned('j-2', 'a', 5);
+    assert.ok(ends.isReportable('j-2'), 'an end that is learned later');
+    ends.onLearned('j-3', 'a', null);
+    assert.ok(!ends.isReportable('j-3'), 'an unknown revision may be later');
+  });
+
   it('without a majority only after every read lease granted before has expired', async () => {
     const { clock, ends } = startNode(2);
-    ends.onLearned('j-1', 'a');
+    ends.onLearned('j-1', 'a', 5);
     await clock.advance(READ_LEASE_MS * 1.001);
     assert.ok(!ends.isReportable('j-1'), 'the clocks of two machines may differ in rate');
     await clock.advance(REPORT_WITHOUT_MAJORITY_MS - READ_LEASE_MS * 1.001);
@@ -63,7 +78,7 @@
 
   it('at once by the only node of a deployment', () => {
     const { ends } = startNode(1);
-    ends.onLearned('j-1', 'a');
+    ends.onLearned('j-1', 'a', 5);
     assert.ok(ends.isReportable('j-1'));
   });
 });
@@ -160,6 +175,7 @@
       clock,
       signal: new AbortController().signal,
       self: { name: 'a', zone: 'z', incarnation: 'a1' },
+      membership: new Membership({ name: 'a', zone: 'z', incarnation: 'a1' }, '', clock),
       peers: new PeerChannel({ sendToPeer, connectedPeers: () => ['b'] }, ['b']),
       finishedJobs: new FinishedJobs(endAcknowledgements),
       endAcknowledgements,
@@ -214,6 +230,7 @@
       observe([open, open, { ...unread, forgottenEndsUpTo: 10 }]),
       false,
     ],
+    ['unless a majority may have seen the open record deleted', observe([open, none(9), unread]), false],
     ['unless a majority may have known it', observe([open, none(10), unread]), false],
     [
       'unless a majority of restarted nodes may have known it',
--- a/packages/scheduler/test/support/wire-samples.ts
+++ b/packages/scheduler/test/support/wire-samples.ts
@@ -131,6 +131,10 @@
     'live/node/node-a',
     { newer: 1, incarnation: 'f00d', unreachable: [], reaches: [] },
   ],
+  'node that acknowledges ends': [
+    'live/node/node-a',
+    { incarnation: 'f00d', unreachable: [], reaches: [], seen: 83 },
+  ],
   'node gone': ['live/node/node-a', undefined],
   'node malformed': ['live/node/node-a', { incarnation: 7, unreachable: [] }],
   'node null': ['live/node/node-a', null],
