--- a/packages/emulator/test/heartbeat-scenarios.ts
+++ b/packages/emulator/test/heartbeat-scenarios.ts
@@ -18,14 +18,13 @@
  * and they list earlier agent epochs and attempts. They arrive with the new leader's record, with its first
  * query and after the first responses.
  */
-async function staleHeartbeatsAtTakeover(): Promise<Violation[]> {
+async function staleHeartbeatsAtTakeover(seed: number): Promise<Violation[]> {
   const timings = siteTimings.matkaturva;
-  const cluster = new ScenarioCluster({
-    zones: ['a'],
-    nodes: ['a', 'a', 'a'],
-    ...timings,
-    initial: [smallMachines(12)],
-  });
+  const cluster = new ScenarioCluster(
+    { zones: ['a'], nodes: ['a', 'a', 'a'], ...timings, initial: [smallMachines(12)] },
+    undefined,
+    seed,
+  );
   await cluster.begin();
   const recorded: { body: string; from: string }[] = [];
   const recordHeartbeats = (): void => {
@@ -142,7 +141,13 @@
 }
 
 export const heartbeatScenarios: Record<string, ScriptedScenario> = {
-  'old heartbeats reach every controller during a takeover': staleHeartbeatsAtTakeover,
+  'old heartbeats reach every controller during a takeover': () => staleHeartbeatsAtTakeover(1),
+  ...Object.fromEntries(
+    [3, 4].map((seed): [string, ScriptedScenario] => [
+      `old heartbeats reach every controller during a takeover, seed ${String(seed)}`,
+      () => staleHeartbeatsAtTakeover(seed),
+    ]),
+  ),
   'duplicated heartbeats arrive after newer ones': reorderedHeartbeats,
   'heartbeats held back until a new leader has acted': heartbeatsHeldUntilTakeover,
 };
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -272,7 +272,7 @@
     file: 'coordination/workers/heartbeat-handler.ts',
     find: 'if (heartbeat.fencingToken < this.shard.fencingToken) {',
     put: 'if (heartbeat.fencingToken < 0) {',
-    detectedBy: { scenario: 'old heartbeats reach every controller during a takeover' },
+    detectedBy: { scenario: 'old heartbeats reach every controller during a takeover, seed 3' },
   },
   {
     name: 'a heartbeat with an old sequence number accepted',
