Read the ends before a start, so that an outage right after it leaves them known

In an outage of the store every poll of j-4 got 503, while j-1, which was open, was answered all the time. One controller: j-4 ended at 58.5 s, the controller ended at 63.0 s, its next process had read its watch cache at 70.9 s, the store was down from 71.0 s to 170 s.

Cause: a new process remembers no end, and its watch cache has no final records; those are read one by one, when the watch shows a deletion or a user asks. Neither happened in the 0.1 s before the outage. So the process could not answer "done", nor, as its earlier process might have reported the end, "running". docs/design.md called this impossible to mend; it is for a process that starts in the outage, not for one that has read its cache.

Change: right after its cache is loaded a process asks the store once for the changes under job/ since 2,000 revisions before the first one it saw (/follow serves the latest 10,000 changes), and records the newest 200 as ends that it knows: one request, no write, some 200 KB at the most. forgottenEndsUpTo is then the revision after which all ends were read. Fewer revisions on 410; repeated on failure, with the bound of before until it is answered.

Why it works: a final record is written once and never deleted, so the answer has every end since that revision; what is older stays excluded by the bound, as before (docs/design.md, "Ends before a start").

Three mutants were caught by scenarios in which a restarted node did not know an end that it now reads: these scenarios stay, and run as well with 2,500 changes between the end and the restart, in which the mutants are caught.

--- a/packages/emulator/test/explorer-digests.test.ts
+++ b/packages/emulator/test/explorer-digests.test.ts
@@ -12,29 +12,29 @@
   [
     'small',
     [
-      '888c989da75128ae24f319b331f6315d63a0d26ecadc3d1bd2f6e3d7c87898be',
-      'fe17049a9a88912f651cb0fa75c15da0f89e5680df8be1ce3f439f4fbc1bcd1a',
+      '0e1c373ee032e8f1f35e0c06dff46ca029054f47c25905e10b319ed8a0b1c83e',
+      '2ba43d94825c08589b4d74c7312bf6d778b082c98b2b285998a91aa76eb6d1db',
     ],
   ],
   [
     'storm',
     [
-      '86668371cb51a8f6b3b647606c187990d80415afa06289e0332be77825e96d08',
-      '707786a0dc88ea1da76ebaa5455a609bc6c913408dadda8980e368b40a0be86c',
+      'b893ae4e9d50efc51fa4d6bbd120561bb0810bf38ab8276dc37220bc6841df2f',
+      '33cfa4289b7ab864821b67c790ed6af92ac2e50f061c005bbe41e65ffc61240e',
     ],
   ],
   [
     'strangers',
     [
-      '460833c18376a5aa7f20f9a7b1663fe1b4e492f1143bb33f26b1d8775856a120',
-      '8086e50faa1106cfedbb292c8005ba91da17fd085dc72312eb9a3537a27079b8',
+      'a5fe00189654e8acd07eabb6205b9be2ac278dfa9130d787aa163e5a93e9885e',
+      '71c34af7ce1232ed8ec941cb06e4ddd688064d4d28841debdd9ba3c9823d6804',
     ],
   ],
   [
     'meetings',
     [
-      '07f54248c91940510e304e207de6d57cefbc7fe8bbab2c664b14944a2f0f82ea',
-      '1151219a17af842cd0e906448423ab4fd4d2b88a95e03bef080d285fd1534be8',
+      'bd163765ee4cacb937823368659a500f07cf95e738fc2085219206e21dc7091a',
+      '14e504d6d1dd542e116f114a19a84ee699e9ecf4017eaa2f4667f7e0945ead91',
     ],
   ],
 ];
@@ -56,7 +56,7 @@
     );
     assert.equal(
       runDigest(digests.flatMap(([, each]) => each)),
-      '543add792313cdb047be143596fcb1596baf74683858482886bf62e18d50c2e9',
+      'bd9a37942165fdba4eca6fbd28371529ea575d3e3cde873aeac72bd2bb07e764',
     );
   });
 });
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -3,7 +3,7 @@
 import { readCommands } from '../src/protocol/wire.ts';
 import { idleWaitScenarios } from './idle-wait-scenarios.ts';
 import { machineFaultScenarios } from './machine-fault-scenarios.ts';
-import { ScenarioCluster, siteTimings, runRefusedLeader } from './refused-leader.ts';
+import { ScenarioCluster, siteTimings, runRefusedLeader, unlimitedStore } from './refused-leader.ts';
 import { heartbeatScenarios } from './heartbeat-scenarios.ts';
 import { requirePrecondition, type ScriptedScenario } from './scripted-scenario.ts';
 import { storeOutageScenarios } from './store-outage-scenarios.ts';
@@ -215,10 +215,15 @@
 /**
  * A partitioned leader has missed a cancellation, and the nodes that confirmed it have restarted. Since then
  * they have only seen that there is no record of the job. In the following outage the leader is queried about
- * the job.
+ * the job. `longBefore`: there are too many later changes for the new processes to read how the job ended.
  */
-async function cancelledWithoutLeader(): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: smallMachines(9) });
+async function cancelledWithoutLeader({ longBefore }: { longBefore: boolean }): Promise<Violation[]> {
+  const cluster = new ScenarioCluster({
+    zones: ['a'],
+    nodes: ['a', 'a', 'a'],
+    initial: smallMachines(9),
+    ...(longBefore ? { store: unlimitedStore } : {}),
+  });
   await cluster.begin();
   // Users do not poll the job, so only the node that confirms the cancellation has read its record.
   void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 300);
@@ -231,6 +236,7 @@
   );
   await cluster.run(0.5);
   requirePrecondition('cancellation confirmed', await cancelUntilConfirmed(cluster, 'j-1', 1));
+  if (longBefore) await cluster.writeManyRecords();
   for (const node of cluster.otherNodes) cluster.killController(node);
   await cluster.run(0.3);
   for (const node of cluster.otherNodes) cluster.startController(node, 50);
@@ -431,7 +437,10 @@
   'the first response to workers that stayed with a refused leader': firstHeartbeatResponse,
   'a launch command delayed beyond the cancellation': delayedLaunchCommand,
   'a response to a stale heartbeat': staleHeartbeatAnswered,
-  'a cancellation missed by the leader, confirmed by a node that then restarts': cancelledWithoutLeader,
+  'a cancellation missed by the leader, confirmed by a node that then restarts': () =>
+    cancelledWithoutLeader({ longBefore: false }),
+  'a cancellation missed by the leader, confirmed long before that node restarts': () =>
+    cancelledWithoutLeader({ longBefore: true }),
   ...Object.fromEntries(
     ['live/job/', 'live/progress/', 'live/machines/', 'live/part/', 'live/node/'].map(
       (kind): [string, ScriptedScenario] => [`writes to ${kind} applied late`, () => lateWritesOf(kind)],
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -158,7 +158,7 @@
     file: 'coordination/jobs/job-state-reader.ts',
     find: 'await watchCache.confirmWithin(POLL_CONFIRM_MS);',
     put: 'true;',
-    detectedBy: { scenario: 'users query all nodes' },
+    detectedBy: { scenario: 'users query all nodes, seed 4' },
   },
   {
     name: 'a completion without a version precondition',
@@ -360,14 +360,14 @@
     file: 'coordination/leadership/unreported-end.ts',
     find: "(observation.kind === 'none' && observation.forgottenEndsUpTo <= lastOpenAt)",
     put: "observation.kind === 'none'",
-    detectedBy: { scenario: 'a cancellation missed by the leader, confirmed by a node that then restarts' },
+    detectedBy: { scenario: 'a cancellation missed by the leader, confirmed long before that node restarts' },
   },
   {
     name: 'a new process that assumes that earlier processes of its node reported no end',
     file: 'coordination/job-view.ts',
-    find: 'evicted > firstRevision ? evicted : firstRevision;',
-    put: 'evicted > firstRevision ? evicted : 0;',
-    detectedBy: { scenario: 'a completion told by a node that then restarts, before a store outage' },
+    find: 'evicted > unreadUpTo ? evicted : unreadUpTo;',
+    put: 'evicted;',
+    detectedBy: { scenario: 'a completion told long before that node restarts, before a store outage' },
   },
   {
     name: 'a peer that knows the end of a job does not answer for the others',
@@ -418,7 +418,23 @@
     file: 'coordination/controller.ts',
     find: '() => finalRecords.readMissing()',
     put: '() => undefined',
-    detectedBy: { scenario: 'an unanswered cancellation and a restart, seconds before a store outage' },
+    detectedBy: {
+      scenario: 'an unanswered cancellation and long after it a restart, seconds before a store outage',
+    },
+  },
+  {
+    name: 'final records that were committed before the start are never read',
+    file: 'coordination/watch-dispatcher.ts',
+    find: 'void recentEnds.read(watchCache.firstRevision);',
+    put: '{ /* not read */ }',
+    detectedBy: { scenario: 'a job that ends before its only controller restarts, then a store outage' },
+  },
+  {
+    name: 'a new process that assumes that it has read all ends before its start',
+    file: 'coordination/jobs/recent-ends-reader.ts',
+    find: 'this.readAfter = newestDropped ?? revision;',
+    put: 'this.readAfter = 0;',
+    detectedBy: { scenario: 'a completion told long before that node restarts, before a store outage' },
   },
   {
     name: 'a unanimous read without the revisions after which deleted jobs ended',
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -3,6 +3,7 @@
 import type { JobSpec } from '@onyxkeel/scheduler';
 import { readJobState, encodeSubmission } from '../src/protocol/wire.ts';
 import { newWork } from '../src/workload.ts';
+import { requirePrecondition } from './scripted-scenario.ts';
 import { plainJob, TestCluster } from './test-cluster.ts';
 
 /** The timing settings of the sites, in seconds (BRIEF and the pages after it). */
@@ -28,6 +29,14 @@
   extraFault?: { afterS: number; inject: (cluster: ScenarioCluster) => void };
 }
 
+/** Limits of a key-value store that rejects no call of a scenario. */
+export const unlimitedStore: Deployment['store'] = {
+  rps: 100_000,
+  writeRps: 100_000,
+  valueKb: 32,
+  txnOps: 12,
+};
+
 /** A test cluster in which users can send requests to one given node. */
 export class ScenarioCluster extends TestCluster {
   /** The node that leads the shard with the most machines when the scenario begins. */
@@ -70,6 +79,22 @@
     return reply.status === 200;
   }
 
+  /**
+   * Writes so many records that a process that starts later does not read the ends before
+   * (`RECENT_ENDS_REVISIONS`). Needs `unlimitedStore`.
+   */
+  async writeManyRecords(): Promise<void> {
+    const body = JSON.stringify({ when: [], writes: [{ put: 'test/record', v: 1 }] });
+    const call = { address: 'state:1', method: 'POST' as const, path: '/txn', body, deadlineMs: 1000 };
+    const writes = Array.from({ length: 2500 }, () => this.network.exchange(this.usersHost, call));
+    await this.run(1);
+    const replies = await Promise.all(writes);
+    requirePrecondition(
+      'all records are written',
+      replies.every(({ status }) => status === 200),
+    );
+  }
+
   get shards(): string[] {
     return this.store.keys('live/part/').map((key) => key.slice('live/part/'.length));
   }
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -1,6 +1,7 @@
 import type { Violation } from '../src/invariant-checker.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
-import { ScenarioCluster } from './refused-leader.ts';
+import type { Deployment } from '../src/cluster.ts';
+import { ScenarioCluster, unlimitedStore } from './refused-leader.ts';
 import {
   requirePrecondition,
   type ScriptedScenario,
@@ -14,12 +15,13 @@
 const longOutageS = 115;
 const polledJobs = ['j-2', 'j-3', 'j-4'];
 
-/** Three controllers in one zone. */
-async function startCluster(): Promise<ScenarioCluster> {
+/** Three controllers in one zone, unless the deployment says otherwise. */
+async function startCluster(deployment: Partial<Deployment> = {}): Promise<ScenarioCluster> {
   const cluster = new ScenarioCluster({
     zones: ['a'],
     nodes: ['a', 'a', 'a'],
     initial: [{ type: 'small', zone: 'a', spot: false, count: 9 }],
+    ...deployment,
   });
   await cluster.begin();
   return cluster;
@@ -54,8 +56,8 @@
 }
 
 /** The short job `j-1` runs, and the leader of its shard is partitioned from its peers. */
-async function startIsolatedLeader(): Promise<IsolatedLeader> {
-  const cluster = await startCluster();
+async function startIsolatedLeader(deployment: Partial<Deployment> = {}): Promise<IsolatedLeader> {
+  const cluster = await startCluster(deployment);
   void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
   await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
   const leader = cluster.ownerOf(cluster.slicesOf('j-1')[0]?.part ?? '');
@@ -105,8 +107,8 @@
 }
 
 /** The leader of `j-1`, isolated from its peers, completes the job while the store refuses the peers. */
-async function completeAtIsolatedLeader(): Promise<IsolatedLeader> {
-  const isolated = await startIsolatedLeader();
+async function completeAtIsolatedLeader(deployment: Partial<Deployment> = {}): Promise<IsolatedLeader> {
+  const isolated = await startIsolatedLeader(deployment);
   const { cluster, leader } = isolated;
   setPeersRefused(cluster, leader, true);
   await cluster.until('the job ends', () => !isOpenInStore(cluster, 'j-1'), 30, 5);
@@ -144,16 +146,22 @@
  * Guards against an answer that is older than one given. A controller that its peers cannot reach completes a
  * job and, as no peer acknowledges the end, tells the user only after the read leases. It restarts. The others
  * still see the job as open. Then the key-value store is down, and users ask all of them again. The new process
- * sees only that there is no open record or, if it is `unread`, nothing at all.
+ * reads how the job ended. If it is `unread`, it sees nothing at all; if the job ended `longBefore`, it sees only
+ * that there is no open record.
  */
-async function completionToldBeforeRestart({ unread }: { unread: boolean }): Promise<Violation[]> {
-  const isolated = await completeAtIsolatedLeader();
+async function completionToldBeforeRestart(how: {
+  unread?: boolean;
+  longBefore?: boolean;
+}): Promise<Violation[]> {
+  const { unread = false, longBefore = false } = how;
+  const isolated = await completeAtIsolatedLeader(longBefore ? { store: unlimitedStore } : {});
   const { cluster, leader } = isolated;
   requirePrecondition('the end is not told before', cluster.checker.finalState('j-1') === null);
   await cluster.run(reportWithoutMajorityS);
   void cluster.queryNode('j-1', leader);
   await cluster.run(0.5);
   requirePrecondition('the end is told', cluster.checker.finalState('j-1') === 'done');
+  if (longBefore) await cluster.writeManyRecords();
   if (unread) cluster.store.setOutage(true);
   await restartAndPollInOutage(isolated);
   return violationsAfterCompletion(cluster);
@@ -233,14 +241,16 @@
 /**
  * Guards against `forgotten` of seed 1, run 15 of `meetings`: a cancellation is applied but not answered, since
  * the controller that sent it ends and is back. Its new process cannot tell what the one before it has
- * reported. Seconds later, with nothing asked meanwhile, the key-value store is down. The user then polls.
+ * reported, or reads it at its start unless the job ended `longBefore`. Seconds later, with nothing asked
+ * meanwhile, the key-value store is down. The user then polls.
  */
-async function unansweredCancellationAndRestart(): Promise<Violation[]> {
-  const cluster = await startCluster();
+async function unansweredCancellationAndRestart({ longBefore = false } = {}): Promise<Violation[]> {
+  const cluster = await startCluster(longBefore ? { store: unlimitedStore } : {});
   void cluster.submitToNode(0, { tasks: 1, cores: 1 }, longRunS);
   await submitPolledJobs(cluster);
   await cancelWithoutAnswer(cluster);
   cluster.killController(0);
+  if (longBefore) await cluster.writeManyRecords();
   cluster.startController(0, 50);
   await cluster.run(3);
   cluster.store.setOutage(true);
@@ -296,6 +306,31 @@
   return violationsAfterCompletion(cluster);
 }
 
+/**
+ * Guards against `forgotten` of seed 71, run 342 of `small`: a job ends, and all controllers that know it end too.
+ * Their next processes have read their watch caches, without the final record, when the key-value store is down.
+ */
+async function endBeforeRestartOfAll(nodes: string[]): Promise<Violation[]> {
+  const cluster = await startCluster({ nodes });
+  void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
+  await cluster.until('the job ends', () => cluster.store.read('job/j-1') !== undefined, 30, 5);
+  for (const node of nodes.keys()) cluster.killController(node);
+  await cluster.run(6);
+  for (const node of nodes.keys()) cluster.startController(node, 20);
+  // Time for the requests that follow one another at a start, and none to spare.
+  await cluster.run(0.08);
+  cluster.store.setOutage(true);
+  requirePrecondition('no user knows the end', cluster.checker.finalState('j-1') === null);
+  await cluster.run(6);
+  const answered = await countAnswered(cluster, [...nodes.keys()]);
+  if (answered < nodes.length)
+    cluster.checker.reportViolation('forgotten', ['j-1', answered], 'polls not answered');
+  cluster.store.setOutage(false);
+  await cluster.run(20);
+  await countAnswered(cluster, [0]);
+  return violationsAfterCompletion(cluster);
+}
+
 /** A controller restarts and has loaded its watch cache again. */
 async function restartSecondController(cluster: ScenarioCluster): Promise<void> {
   cluster.killController(1);
@@ -309,13 +344,22 @@
   'a restart, an unanswered cancellation, then a store outage for all nodes': () =>
     unansweredCancellation(restartSecondController),
   'a completion told by a node that then restarts, before a store outage': () =>
-    completionToldBeforeRestart({ unread: false }),
+    completionToldBeforeRestart({}),
+  'a completion told long before that node restarts, before a store outage': () =>
+    completionToldBeforeRestart({ longBefore: true }),
   'a completion told by a node that then restarts, in a store outage': () =>
     completionToldBeforeRestart({ unread: true }),
   'a completion that a node has told nobody before it restarts in a store outage': restartBeforeReport,
   'restarts in a store outage, with jobs polled throughout': restartsInOutage,
   'a cancellation told by a majority whose nodes restart in a store outage': restartOfMajority,
-  'an unanswered cancellation and a restart, seconds before a store outage': unansweredCancellationAndRestart,
+  'an unanswered cancellation and a restart, seconds before a store outage': () =>
+    unansweredCancellationAndRestart(),
+  'an unanswered cancellation and long after it a restart, seconds before a store outage': () =>
+    unansweredCancellationAndRestart({ longBefore: true }),
+  'a job that ends before its only controller restarts, then a store outage': () =>
+    endBeforeRestartOfAll(['a']),
+  'a job that ends before all controllers restart, then a store outage': () =>
+    endBeforeRestartOfAll(['a', 'a', 'a']),
   'a job that ends while controllers reach only the store': endWithoutMessages,
   'a job whose end one node knows, polled at the others in a store outage': endKnownToOneNode,
 };
--- a/packages/emulator/test/user-request-scenarios.ts
+++ b/packages/emulator/test/user-request-scenarios.ts
@@ -34,8 +34,9 @@
  */
 async function queryAllNodesDuring(
   injectFault: (cluster: ScenarioCluster, n: number) => void,
+  seed = 1,
 ): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, initial: smallMachines(12) });
+  const cluster = new ScenarioCluster({ ...singleZone, initial: smallMachines(12) }, undefined, seed);
   await cluster.begin();
   const directQueries = countDirectQueries(cluster);
   for (let n = 0; n < 24; n++) {
@@ -361,6 +362,12 @@
 
 export const userRequestScenarios: Record<string, ScriptedScenario> = {
   'users query all nodes': () => queryAllNodesDuring(() => {}),
+  ...Object.fromEntries(
+    [4, 5].map((seed): [string, ScriptedScenario] => [
+      `users query all nodes, seed ${String(seed)}`,
+      () => queryAllNodesDuring(() => {}, seed),
+    ]),
+  ),
   'users query all nodes, the store is slow': () =>
     queryAllNodesDuring((cluster, n) => (cluster.store.extraLatencyMs = n >= 0 ? 700 : 0)),
   'users query all nodes, the store refuses one of them': () =>
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -407,6 +407,13 @@
 export const FINAL_RECORD_READS = 8;
 /** Jobs whose final records are still to be read at most. */
 export const FINAL_RECORDS_MISSING_MAX = 1000;
+/**
+ * Revisions before a process's first one whose final records it reads at its start: more than a deployment
+ * writes while a controller restarts, and a fifth of the changes that the store keeps.
+ */
+export const RECENT_ENDS_REVISIONS = 2000;
+/** Ends. Maximum of these that a process remembers: as many as a reply to a peer can list. */
+export const RECENT_ENDS_MAX = END_ACKNOWLEDGEMENT_BATCH;
 /** Jobs whose deleted open records are remembered: several minutes of ends in a large deployment. */
 export const DELETED_JOBS_REMEMBERED = 5000;
 /**
--- a/packages/scheduler/src/coordination/job-view.ts
+++ b/packages/scheduler/src/coordination/job-view.ts
@@ -4,6 +4,7 @@
 import type { OpenJobs } from '../storage/open-jobs.ts';
 import type { WatchCache } from '../storage/watch-cache.ts';
 import type { JobRequests } from './jobs/job-requests.ts';
+import type { RecentEndsReader } from './jobs/recent-ends-reader.ts';
 import type { JobObserver } from './leadership/unanimous-read.ts';
 import type { JobObservation } from './leadership/unreported-end.ts';
 import type { ShardLoads } from './scheduling/shard-loads.ts';
@@ -15,6 +16,7 @@
   readonly jobRequests: JobRequests;
   readonly openJobs: OpenJobs;
   readonly deletedJobs: DeletedJobs;
+  readonly recentEnds: RecentEndsReader;
   readonly shardLoads: ShardLoads;
   readonly watchCache: WatchCache;
 }
@@ -38,15 +40,15 @@
   /**
    * Ends that this node may have reported to users, and that this process does not remember, have at most
    * this revision: an earlier process of the node committed or read them before this one had its first answer
-   * from the key-value store, or this process has evicted them. While the watch cache is not complete, only
-   * what this process has evicted counts.
+   * from the key-value store, and this process has not read them since, or it has evicted them. While the watch
+   * cache is not complete, only what this process has evicted counts.
    */
   get forgottenEndsUpTo(): Revision {
-    const { dispatcher, jobRequests, watchCache } = this.context;
+    const { dispatcher, jobRequests, recentEnds, watchCache } = this.context;
     const evicted = jobRequests.forgottenEndsUpTo;
-    const { firstRevision } = watchCache;
-    if (!dispatcher.isLoaded || firstRevision === null) return evicted;
-    return evicted > firstRevision ? evicted : firstRevision;
+    if (!dispatcher.isLoaded || watchCache.firstRevision === null) return evicted;
+    const unreadUpTo = recentEnds.endsReadAfter ?? watchCache.firstRevision;
+    return evicted > unreadUpTo ? evicted : unreadUpTo;
   }
 
   /** Counts the job's tasks that are not settled, and those running according to the shards' reports. */
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -27,6 +27,7 @@
 import { FinishedJobs } from './jobs/finished-jobs.ts';
 import { JobCompletion } from './jobs/job-completion.ts';
 import { JobRequests } from './jobs/job-requests.ts';
+import { RecentEndsReader } from './jobs/recent-ends-reader.ts';
 import { Failover } from './leadership/failover.ts';
 import { LeaderCandidates } from './leadership/leader-candidates.ts';
 import { LeadershipWriter } from './leadership/leadership-writer.ts';
@@ -112,6 +113,7 @@
   readonly jobRequests: JobRequests;
   readonly jobCompletion: JobCompletion;
   readonly finalRecords: FinalRecordReader;
+  readonly recentEnds: RecentEndsReader;
   readonly jobView = new JobView(this);
   readonly readLeases = new PeerReadLeases(this);
   readonly observationResponder = new ObservationResponder(this);
@@ -163,6 +165,7 @@
     this.jobRequests = this.createJobRequests();
     this.jobCompletion = this.createJobCompletion();
     this.finalRecords = this.createFinalRecordReader();
+    this.recentEnds = this.createRecentEndsReader();
     this.order = new JobOrder(this);
     this.migration = this.createMigration();
   }
@@ -250,13 +253,27 @@
     });
   }
 
-  /**
-   * This node has committed or read the job's final record. The tasks of a cancelled job are stopped. All peers
-   * are notified, so that any of them can answer the job's user.
-   */
-  private announceEnd(job: string, record: FinalRecord): void {
+  /** Peers are not notified: most of them know these ends, and each is asked which of them it knows. */
+  private createRecentEndsReader(): RecentEndsReader {
+    const { clock, log, signal, store } = this;
+    return new RecentEndsReader({
+      clock,
+      log,
+      signal,
+      store,
+      onRead: (job, record) => this.recordOwnEnd(job, record),
+    });
+  }
+
+  /** This node has committed or read the job's final record. The tasks of a cancelled job are stopped. */
+  private recordOwnEnd(job: string, record: FinalRecord): void {
     this.jobRequests.recordEnd(job, record, this.self.name);
     if (record.status === 'cancelled') this.dispatcher.onJobCancelled(job);
+  }
+
+  /** Records an end like `recordOwnEnd`, and notifies all peers, so that any of them can answer the job's user. */
+  private announceEnd(job: string, record: FinalRecord): void {
+    this.recordOwnEnd(job, record);
     notifyOfEnd(this.peers, this.peers.names, job, record);
   }
 
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -11,6 +11,7 @@
 import type { FailingJobs } from './jobs/failing-jobs.ts';
 import type { FinalRecordReader } from './jobs/final-record-reader.ts';
 import type { JobCompletion } from './jobs/job-completion.ts';
+import type { RecentEndsReader } from './jobs/recent-ends-reader.ts';
 import type { Quotas } from './quota/quotas.ts';
 import type { HeartbeatRouter } from './workers/heartbeat-router.ts';
 import type { LedShards } from './leadership/led-shards.ts';
@@ -36,6 +37,7 @@
   readonly watchCache: WatchCache;
   readonly jobCompletion: JobCompletion;
   readonly finalRecords: FinalRecordReader;
+  readonly recentEnds: RecentEndsReader;
   readonly endReporting: EndReporting;
   readonly failingJobs: FailingJobs;
   readonly quotas: Quotas;
@@ -63,8 +65,10 @@
   /** The watch cache is complete, for the first time or again. */
   onCaughtUp(): void {
     if (this.isComplete) return;
-    const { log, membership, openJobs, ledShards, registration, shardMap } = this.context;
+    const { log, membership, openJobs, ledShards, recentEnds, registration } = this.context;
+    const { shardMap, watchCache } = this.context;
     this.isComplete = true;
+    if (watchCache.firstRevision !== null) void recentEnds.read(watchCache.firstRevision);
     membership.onCaughtUp();
     registration.onCaughtUp();
     for (const shard of shardMap.names) ledShards.updateLeadership(shard);
--- a/packages/scheduler/src/protocol/json.ts
+++ b/packages/scheduler/src/protocol/json.ts
@@ -8,6 +8,13 @@
  */
 export type ExactInteger = number | bigint;
 
+/** The value less `amount`, at least 0; of the type that the result has when it is read from JSON. */
+export function subtractFrom(value: ExactInteger, amount: number): ExactInteger {
+  const exact = BigInt(value) - BigInt(amount);
+  if (exact < 0n) return 0;
+  return exact <= Number.MAX_SAFE_INTEGER ? Number(exact) : exact;
+}
+
 /** The value of a number literal in JSON. */
 function exactNumber(text: string): ExactInteger {
   const value = Number(text);
--- a/packages/scheduler/src/storage/records.ts
+++ b/packages/scheduler/src/storage/records.ts
@@ -12,6 +12,8 @@
 
 /** Prefix of the keys that every controller watches. */
 export const LIVE_PREFIX = 'live/';
+/** Prefix of the keys of the records of how jobs ended. */
+export const FINAL_PREFIX = 'job/';
 
 /**
  * A running controller. Bound to the controller's lease, so that the store deletes it when the lease expires.
@@ -127,7 +129,7 @@
 /** Key of a team's quota. */
 export const quotaKey = (team: string): string => `${LIVE_PREFIX}quota/${team}`;
 /** Key of the record of how a job ended. */
-export const jobKey = (id: JobId): string => `job/${id}`;
+export const jobKey = (id: JobId): string => `${FINAL_PREFIX}${id}`;
 
 /** A record under `live/` after a change; `record` is null if it is deleted. */
 export type LiveRecord =
