--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -10,16 +10,15 @@
   type Log,
   type WireMessage,
   type Random,
-  readSettings,
   seededRandom,
 } from '@onyxkeel/scheduler';
-import { Cloud, type Capacity, type CloudMachine } from './cloud.ts';
+import { Cloud, type CloudMachine } from './cloud.ts';
 import { EPOCH_MS, START_MS } from './constants.ts';
 import { type EventField, InvariantChecker } from './invariant-checker.ts';
 import type { Loss } from './data-loss.ts';
+import { controllerAddress, controllerName, controllerSettings, type Deployment } from './deployment.ts';
 import { LoadBalancer } from './load-balancer.ts';
 import { type Host, Network } from './network.ts';
-import type { MachineTypeSpec } from './protocol/wire.ts';
 import { KeyValueStoreServer } from './key-value-store-server.ts';
 import { HostClock, VirtualTime } from './time.ts';
 import { Users } from './users.ts';
@@ -30,38 +29,6 @@
 const STORE_ADDRESS = 'state:1';
 const CLOUD_ADDRESS = 'cloud:1';
 
-/** The parameters of a deployment, in the units of the platform's settings (DEPLOY). */
-export interface Deployment {
-  zones: string[];
-  /** Zones of the controllers, in order. */
-  nodes: string[];
-  /** Machine types that the cloud offers. */
-  types: MachineTypeSpec[];
-  /** How many machines the cloud has. */
-  capacity: Capacity[];
-  /** Machines that are up at the start. */
-  initial: { type: string; zone: string; spot: boolean; count: number }[];
-  /** Guarantee and quota of each team, in CPUs. */
-  teams: { name: string; cores: number; maxCores: number }[];
-  /** Objectives: how soon jobs of a class should be done. */
-  objectives: { class: string; withinS: number }[];
-  /** Heartbeat interval. */
-  heartbeatS: number;
-  /** Worker lease. */
-  leaseS: number;
-  /** For how long after the confirmed cancellation of a job its tasks may still start or run. */
-  cancelS: number;
-  /**
-   * Limits of the key-value store: requests and writes a second, size of a value, operations of a
-   * transaction.
-   */
-  store: { rps: number; writeRps: number; valueKb: number; txnOps: number };
-  /** The cloud's limit of requests a second, and how far its lists lag behind. */
-  cloud: { rps: number; listLagS: number };
-  /** Greatest error of a controller's wall clock, in either direction. */
-  wallClockErrorMs: number;
-}
-
 /** The running process of a controller. */
 interface Process {
   /** When it starts to serve. The process has no record of data that was lost before that time. */
@@ -165,7 +132,7 @@
     });
     const users = host('users', 'users');
     this.usersHost = users;
-    const addresses = deployment.nodes.map((_, i) => this.controllerAddress(i));
+    const addresses = deployment.nodes.map((_, i) => controllerAddress(i));
     this.balancer = new LoadBalancer(time, fork(), this.network, users, addresses);
     this.users = new Users(time, fork(), this.network, users, this.balancer, this.checker, this.workload);
     this.checker.onStateLearned = (id): void => this.users.queryAllNodes(id);
@@ -183,14 +150,6 @@
 
   // --- controllers ---
 
-  private controllerName(node: number): string {
-    return `node-${String(node)}`;
-  }
-
-  private controllerAddress(node: number): string {
-    return `127.0.0.1:${String(9000 + node)}`;
-  }
-
   /** The controller's host; null if its process does not run. */
   controllerHost(node: number): Host | null {
     return this.processes.get(node)?.host ?? null;
@@ -206,13 +165,13 @@
     if (this.processes.has(node)) return;
     const zone = this.deployment.nodes[node] ?? '';
     const host: Host = {
-      name: this.controllerName(node),
+      name: controllerName(node),
       zone,
       kind: 'node',
       status: 'up',
       clock: new HostClock(this.time, this.drawDrift()),
     };
-    const settings = this.controllerSettings(node);
+    const settings = controllerSettings(this.deployment, node);
     const { wallClockErrorMs } = this.deployment;
     const wallClockOffsetMs = this.random.below(2 * wallClockErrorMs + 1) - wallClockErrorMs;
     // The signal is never aborted: a killed process just gets no more timers and messages.
@@ -231,7 +190,7 @@
       connectedPeers: () =>
         peers
           .filter((i) => this.processes.get(i) && this.isConnectedToPeer(host, i))
-          .map((i) => this.controllerName(i)),
+          .map((i) => controllerName(i)),
       signal: neverAborted.signal,
     });
     this.processes.set(node, { host, controller, servesFrom: this.time.now + startMs });
@@ -239,7 +198,7 @@
     this.time.after(startMs, () => {
       if (host.status !== 'up') return;
       const serve = httpApi(controller);
-      this.network.serve(this.controllerAddress(node), host, async ({ method, path, body }) =>
+      this.network.serve(controllerAddress(node), host, async ({ method, path, body }) =>
         serve({ method, path: path.split('?')[0] ?? path, body }),
       );
       controller
@@ -323,34 +282,6 @@
     if (process) process.host.clock.frozenUntil = this.time.now + ms;
   }
 
-  /** The settings that the platform would give to the controller. */
-  private controllerSettings(node: number): ReturnType<typeof readSettings> {
-    const d = this.deployment;
-    return readSettings({
-      node_name: this.controllerName(node),
-      zone: d.nodes[node],
-      listen: this.controllerAddress(node),
-      mesh_addr: this.controllerAddress(node),
-      siblings: d.nodes
-        .map((zone, i) => ({ node_name: this.controllerName(i), zone, peer_addr: this.controllerAddress(i) }))
-        .filter((_, i) => i !== node),
-      endpoints: { cloud: '127.0.0.1:1', state: '127.0.0.1:2' },
-      deployment: {
-        zones: d.zones,
-        teams: d.teams.map((t) => ({ name: t.name, cpus: t.cores, cpus_max: t.maxCores })),
-        objectives: d.objectives.map((o) => ({ kind: 'finished', class: o.class, within_s: o.withinS })),
-        workers: { report_s: d.heartbeatS, lease_s: d.leaseS, cancel_s: d.cancelS },
-        state: {
-          rps: d.store.rps,
-          write_rps: d.store.writeRps,
-          value_kb: d.store.valueKb,
-          txn_ops: d.store.txnOps,
-        },
-        cloud: { rps: d.cloud.rps, list_lag_s: d.cloud.listLagS },
-      },
-    });
-  }
-
   /**
    * Draws a clock's drift. Half of the clocks have the greatest drift, to test margins between two clocks.
    */
@@ -368,7 +299,7 @@
   protected onPeerMessage: (from: string, to: string, message: WireMessage) => void = () => {};
 
   private sendToPeer(from: Host, peer: string, message: WireMessage): boolean {
-    const index = this.deployment.nodes.findIndex((_, i) => this.controllerName(i) === peer);
+    const index = this.deployment.nodes.findIndex((_, i) => controllerName(i) === peer);
     const to = this.processes.get(index);
     if (!to) return false;
     // Cloned at the time of sending: later changes by the sender must not change the message.
@@ -421,8 +352,8 @@
       heartbeatMs: deployment.heartbeatS * 1000,
       leaseMs: deployment.leaseS * 1000,
       nodes: deployment.nodes.map((zone, i) => ({
-        name: this.controllerName(i),
-        address: this.controllerAddress(i),
+        name: controllerName(i),
+        address: controllerAddress(i),
         zone,
       })),
     });
--- a/packages/emulator/src/fault-targets.ts
+++ b/packages/emulator/src/fault-targets.ts
@@ -4,6 +4,7 @@
  */
 import type { Random } from '@onyxkeel/scheduler';
 import type { Cluster } from './cluster.ts';
+import { controllerName } from './deployment.ts';
 import type { Host } from './network.ts';
 import type { PartitionFrom } from './scenario.ts';
 import type { Worker } from './worker.ts';
@@ -67,7 +68,7 @@
 
   /** Matches the links between the controller and the hosts that the partition separates it from. */
   linksOfNode(drawn: number, from: PartitionFrom): (local: Host, remote: Host) => boolean {
-    const name = `node-${String(this.node(drawn))}`;
+    const name = controllerName(this.node(drawn));
     const kinds = remoteKinds[from];
     return (local, remote) =>
       local.name === name && remote.name !== name && (kinds?.includes(remote.kind) ?? true);
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,7 +1,8 @@
 /**
  * The emulator's public API: the outside systems in virtual time, and simulated runs of scenarios on them.
  */
-export { Cluster, type Deployment, silentLog } from './cluster.ts';
+export { Cluster, silentLog } from './cluster.ts';
+export type { Deployment } from './deployment.ts';
 export type { Rule, Violation } from './invariant-checker.ts';
 export { type PartitionMode } from './network.ts';
 export { type Fault, type Scenario } from './scenario.ts';
--- a/packages/emulator/src/scenario-deployment.ts
+++ b/packages/emulator/src/scenario-deployment.ts
@@ -1,6 +1,6 @@
 /** Converts a scenario to its deployment and to the jobs that its users submit. */
 import { type JobSpec, seededRandom } from '@onyxkeel/scheduler';
-import type { Deployment } from './cluster.ts';
+import type { Deployment } from './deployment.ts';
 import type { MachineTypeSpec } from './protocol/wire.ts';
 import type { Scenario, ScenarioJob } from './scenario.ts';
 
--- a/packages/emulator/src/simulated-run.ts
+++ b/packages/emulator/src/simulated-run.ts
@@ -1,6 +1,7 @@
 /** One seeded run of a scenario in virtual time, from the start of the controllers to the last check. */
 import { type Log, type Random, seededRandom } from '@onyxkeel/scheduler';
-import { Cluster, type Deployment } from './cluster.ts';
+import { Cluster } from './cluster.ts';
+import type { Deployment } from './deployment.ts';
 import {
   CANCEL_ENDLESS_INTERVAL_MS,
   CANCEL_ENDLESS_S,
--- a/packages/emulator/test/best-effort-team.test.ts
+++ b/packages/emulator/test/best-effort-team.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { Deployment } from '../src/cluster.ts';
+import type { Deployment } from '../src/deployment.ts';
 import { LogLines, TestCluster } from './test-cluster.ts';
 
 /**
--- a/packages/emulator/test/fault-injection.test.ts
+++ b/packages/emulator/test/fault-injection.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { readScenario } from '../src/scenario-file.ts';
-import type { Deployment } from '../src/cluster.ts';
+import type { Deployment } from '../src/deployment.ts';
 import { FaultInjector } from '../src/fault-injector.ts';
 import { InvariantChecker } from '../src/invariant-checker.ts';
 import { VirtualTime } from '../src/time.ts';
--- a/packages/emulator/test/heartbeat-scenarios.ts
+++ b/packages/emulator/test/heartbeat-scenarios.ts
@@ -1,3 +1,4 @@
+import { controllerAddress } from '../src/deployment.ts';
 import type { Violation } from '../src/invariant-checker.ts';
 import { ScenarioCluster, siteTimings } from './refused-leader.ts';
 import {
@@ -44,7 +45,7 @@
   await cluster.run(6);
   recordHeartbeats();
   let delivered = 0;
-  const nodes = [0, 1, 2].map((node) => `127.0.0.1:${String(9000 + node)}`);
+  const nodes = [0, 1, 2].map(controllerAddress);
   const deliver = (): void => {
     for (const { body, from } of recorded) {
       const worker = cluster.workers.get(from);
--- a/packages/emulator/test/quick-restarts.test.ts
+++ b/packages/emulator/test/quick-restarts.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { WireMessage } from '@onyxkeel/scheduler';
+import { controllerAddress } from '../src/deployment.ts';
 import { runSeededScenario, scenarioSeed } from '../src/randomized-testing.ts';
 import { readJobState } from '../src/protocol/wire.ts';
 import { TestCluster } from './test-cluster.ts';
@@ -27,7 +28,7 @@
   /** Polls the job at the node and passes the answer to the checker. */
   async askNode(job: string, node: number): Promise<void> {
     const askedAt = this.time.now;
-    const address = `127.0.0.1:${String(9000 + node)}`;
+    const address = controllerAddress(node);
     const call = { address, method: 'GET' as const, path: `/v1/jobs/${job}`, deadlineMs: 2000 };
     const reply = await this.network.exchange(this.usersHost, call).catch(() => null);
     if (reply) this.checker.onAnswer(job, 'poll', askedAt, reply.status, readJobState(reply.body));
--- a/packages/emulator/test/recovery.test.ts
+++ b/packages/emulator/test/recovery.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import type { Host } from '../src/network.ts';
 import { HostClock } from '../src/time.ts';
-import type { Deployment } from '../src/cluster.ts';
+import { controllerAddress, controllerName, type Deployment } from '../src/deployment.ts';
 import { LogLines, TestCluster } from './test-cluster.ts';
 
 /** By default two zones with two controllers each. Most jobs of the tests run only in the second zone. */
@@ -35,7 +35,7 @@
     await world.run(5);
     const first = leaderOf(world, 'b.0');
     const before = fencingToken(world, 'b.0');
-    const name = `node-${String(first)}`;
+    const name = controllerName(first);
     const heal = world.network.startPartition('drop', (x, y) => x.name === name && y.kind === 'worker');
     await world.until('another leader', () => leaderOf(world, 'b.0') !== first, 15);
     await world.run(30);
@@ -286,7 +286,7 @@
       status: 'up',
       clock: new HostClock(world.time, 0),
     };
-    const address = `127.0.0.1:${String(9000 + node)}`;
+    const address = controllerAddress(node);
     const call = { address, method: 'GET' as const, path: `/v1/jobs/${job}`, deadlineMs: 2000 };
     let answer: string | number = 'none';
     void world.network.exchange(from, call).then((reply) => {
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -1,5 +1,5 @@
 import type { Violation } from '../src/invariant-checker.ts';
-import type { Deployment } from '../src/cluster.ts';
+import { controllerAddress, type Deployment } from '../src/deployment.ts';
 import type { JobSpec } from '@onyxkeel/scheduler';
 import { readJobState, encodeSubmission } from '../src/protocol/wire.ts';
 import { newWork } from '../src/workload.ts';
@@ -58,7 +58,7 @@
     this.workload.set(work.spec.id, work);
     work.submitted = true;
     const askedAt = this.time.now;
-    const address = `127.0.0.1:${String(9000 + node)}`;
+    const address = controllerAddress(node);
     const call = { address, method: 'POST' as const, path: '/v1/jobs', deadlineMs: 5000 };
     const body = encodeSubmission(work.spec);
     const reply = await this.network.exchange(this.usersHost, { ...call, body }).catch(() => null);
@@ -68,7 +68,7 @@
   /** A user polls or cancels the job at the node. The checker records the answer. True on status 200. */
   async queryNode(job: string, node: number, question: 'poll' | 'cancel' = 'poll'): Promise<boolean> {
     const askedAt = this.time.now;
-    const address = `127.0.0.1:${String(9000 + node)}`;
+    const address = controllerAddress(node);
     const how =
       question === 'poll'
         ? { method: 'GET' as const, path: `/v1/jobs/${job}`, deadlineMs: 2000 }
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -1,6 +1,6 @@
 import type { Violation } from '../src/invariant-checker.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
-import type { Deployment } from '../src/cluster.ts';
+import { controllerName, type Deployment } from '../src/deployment.ts';
 import { ScenarioCluster, unlimitedStore } from './refused-leader.ts';
 import {
   requirePrecondition,
@@ -61,7 +61,7 @@
   void cluster.submitToNode(0, { tasks: 1, cores: 1 }, 4);
   await cluster.until('the job runs', () => isRunning(cluster, 'j-1'), 30);
   const leader = cluster.ownerOf(cluster.slicesOf('j-1')[0]?.part ?? '');
-  const leaderName = `node-${String(leader)}`;
+  const leaderName = controllerName(leader);
   const heal = cluster.network.startPartition('drop', (x, y) => x.name === leaderName && y.kind === 'node');
   return { cluster, leader, heal };
 }
--- a/packages/emulator/test/test-cluster.ts
+++ b/packages/emulator/test/test-cluster.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type { JobSpec, Log } from '@onyxkeel/scheduler';
-import { Cluster, type Deployment, silentLog } from '../src/cluster.ts';
+import { Cluster, silentLog } from '../src/cluster.ts';
+import type { Deployment } from '../src/deployment.ts';
 import { newWork, type Work } from '../src/workload.ts';
 
 /** The machine type that most scenarios use. */
--- a/packages/emulator/test/user-request-scenarios.ts
+++ b/packages/emulator/test/user-request-scenarios.ts
@@ -1,4 +1,5 @@
 import type { Violation } from '../src/invariant-checker.ts';
+import { controllerName } from '../src/deployment.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
 import { ScenarioCluster, siteTimings, runRefusedLeader } from './refused-leader.ts';
 import {
@@ -119,9 +120,7 @@
   for (let n = 0; n < 12; n++) {
     for (let k = 0; k < 2; k++) cluster.submit({ id: `j-${String(2 * n + k)}`, tasks: 8, cores: 2 }, 5 + n);
     await cluster.run(1.5);
-    const heal = cluster.network.dropOneWay(
-      (a, b) => a.kind === 'state' && b.name === `node-${String(n % 3)}`,
-    );
+    const heal = cluster.network.dropOneWay((a, b) => a.kind === 'state' && b.name === controllerName(n % 3));
     const before = cluster.store.counts.changes;
     if (n % 2 === 0) void cluster.cancelAtNode(`j-${String(2 * n)}`, n % 3);
     await cluster.run(3);
--- a/packages/emulator/test/wire-recorder.ts
+++ b/packages/emulator/test/wire-recorder.ts
@@ -1,7 +1,7 @@
 import { Encoder } from 'cbor-x';
 import { createHash, type Hash } from 'node:crypto';
 import { type JobSpec, type WireMessage, seededRandom } from '@onyxkeel/scheduler';
-import type { Deployment } from '../src/cluster.ts';
+import type { Deployment } from '../src/deployment.ts';
 import type { Fault } from '../src/scenario.ts';
 import { FaultInjector } from '../src/fault-injector.ts';
 import { type Host, Network, type Reply, type RequestHandler } from '../src/network.ts';
--- a/packages/emulator/test/wire-runs.ts
+++ b/packages/emulator/test/wire-runs.ts
@@ -1,4 +1,4 @@
-import type { Deployment } from '../src/cluster.ts';
+import type { Deployment } from '../src/deployment.ts';
 import type { WireRun } from './wire-recorder.ts';
 import { smallType } from './test-cluster.ts';
 
