--- a/packages/emulator/test/failing-jobs.test.ts
+++ b/packages/emulator/test/failing-jobs.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { newWork } from '../src/workload.ts';
-import { LogLines, plainJob, TestCluster } from './test-cluster.ts';
+import { LogLines, plainJob, smallMachines, TestCluster } from './test-cluster.ts';
 
 /** One zone, two controllers, a dozen machines of eight CPUs. */
 function twelveMachines(
   more: ConstructorParameters<typeof TestCluster>[0] = {},
   lines?: LogLines,
 ): TestCluster {
-  const initial = [{ type: 'small', zone: 'a', spot: false, count: 12 }];
+  const initial = [smallMachines(12)];
   const world = new TestCluster({ initial, ...more }, lines?.of);
   if (lines) lines.now = () => world.time.now;
   return world;
--- a/packages/emulator/test/heartbeat-scenarios.ts
+++ b/packages/emulator/test/heartbeat-scenarios.ts
@@ -6,13 +6,7 @@
   requirePrecondition,
   type ScriptedScenario,
 } from './scripted-scenario.ts';
-
-const smallMachines = (count: number): { type: string; zone: string; spot: boolean; count: number } => ({
-  type: 'small',
-  zone: 'a',
-  spot: false,
-  count,
-});
+import { smallMachines } from './test-cluster.ts';
 
 /**
  * Old heartbeats reach every controller during a takeover. Their age ranges from seconds to several leases,
--- a/packages/emulator/test/idle-wait-scenarios.ts
+++ b/packages/emulator/test/idle-wait-scenarios.ts
@@ -2,6 +2,7 @@
 import type { Violation } from '../src/invariant-checker.ts';
 import { ScenarioCluster } from './refused-leader.ts';
 import { requirePrecondition, type ScriptedScenario } from './scripted-scenario.ts';
+import { smallMachines } from './test-cluster.ts';
 
 const longRunS = 1000;
 
@@ -19,16 +20,6 @@
   return cluster.checker.violations;
 }
 
-const smallMachines = (
-  zone: string,
-  count: number,
-): { type: string; zone: string; spot: boolean; count: number } => ({
-  type: 'small',
-  zone,
-  spot: false,
-  count,
-});
-
 /** The number of the job's tasks that run or have a result. */
 const startedOf = (cluster: ScenarioCluster, id: string): number =>
   cluster.checker.runningTasks(id).length + (cluster.workload.get(id)?.results.size ?? 0);
@@ -38,7 +29,7 @@
  * capacity but are not idle. Pending tasks of the full shard must run in the other one.
  */
 async function pendingTasksOfFullShard(): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a'], initial: [smallMachines('a', 8)] });
+  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a'], initial: [smallMachines(8)] });
   await cluster.begin();
   // Every machine has a long task of 5 CPUs, and 3 free CPUs.
   cluster.submit({ id: 'j-1', tasks: 8, cores: 5 }, longRunS);
@@ -77,7 +68,7 @@
   zones = ['a', 'b', 'c'],
 ): Promise<Violation[]> {
   // Two shards in each zone, so that neither leader sees all of a job's tasks there.
-  const initial = zones.map((zone) => smallMachines(zone, 6));
+  const initial = zones.map((zone) => smallMachines(6, zone));
   const cluster = new ScenarioCluster({ zones, nodes: [...zones, ...zones], initial });
   await cluster.begin();
   const ids = Array.from({ length: 6 }, (_, n) => `j-${String(n)}`);
@@ -111,7 +102,7 @@
   const cluster = new ScenarioCluster({
     zones,
     nodes: zones,
-    initial: zones.map((zone) => smallMachines(zone, 2)),
+    initial: zones.map((zone) => smallMachines(2, zone)),
   });
   await cluster.begin();
   const ids = Array.from({ length: 4 }, (_, n) => `j-${String(n)}`);
@@ -138,7 +129,7 @@
  */
 async function spreadInOneZone(): Promise<Violation[]> {
   const zones = ['a', 'b'];
-  const initial = zones.map((zone) => smallMachines(zone, 6));
+  const initial = zones.map((zone) => smallMachines(6, zone));
   const cluster = new ScenarioCluster({ zones, nodes: ['a', 'b', 'a'], initial });
   await cluster.begin();
   const spread = { spread: true, cores: 2, tasks: 5 };
@@ -170,7 +161,7 @@
   const cluster = new ScenarioCluster({
     zones: ['a'],
     nodes: ['a', 'a', 'a', 'a', 'a'],
-    initial: [smallMachines('a', 20)],
+    initial: [smallMachines(20)],
     teams: [{ name: 'red', cores: 8, maxCores: 8 }],
   });
   await cluster.begin();
@@ -188,7 +179,7 @@
     {
       zones: ['a'],
       nodes: ['a', 'a', 'a', 'a', 'a'],
-      initial: [smallMachines('a', 40)],
+      initial: [smallMachines(40)],
       teams: [{ name: 'red', cores: 8, maxCores: 11 }],
     },
     undefined,
@@ -217,7 +208,7 @@
     {
       zones: ['a'],
       nodes: Array.from({ length: shards }, () => 'a'),
-      initial: [smallMachines('a', 4 * shards), { type: 'large', zone: 'a', spot: false, count: 1 }],
+      initial: [smallMachines(4 * shards), { type: 'large', zone: 'a', spot: false, count: 1 }],
       teams: [
         { name: 'red', cores: 8, maxCores: 11 },
         ...teams.map((name) => ({ name, cores: 8, maxCores: 0 })),
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -1,19 +1,16 @@
 import type { Violation } from '../src/invariant-checker.ts';
-import type { TransactionFault } from '../src/key-value-store-server.ts';
 import { readCommands } from '../src/protocol/wire.ts';
 import { idleWaitScenarios } from './idle-wait-scenarios.ts';
 import { machineFaultScenarios } from './machine-fault-scenarios.ts';
 import { ScenarioCluster, siteTimings, runRefusedLeader, unlimitedStore } from './refused-leader.ts';
 import { heartbeatScenarios } from './heartbeat-scenarios.ts';
+import { restartScenarios } from './restart-scenarios.ts';
 import { requirePrecondition, type ScriptedScenario } from './scripted-scenario.ts';
 import { storeOutageScenarios } from './store-outage-scenarios.ts';
 import { userRequestScenarios } from './user-request-scenarios.ts';
+import { smallMachines } from './test-cluster.ts';
 
 const longRunS = 1000;
-const singleZone = { zones: ['a'], nodes: ['a', 'a'] };
-const smallMachines = (count: number): { type: string; zone: string; spot: boolean; count: number }[] => [
-  { type: 'small', zone: 'a', spot: false, count },
-];
 
 const violationsOf = async (plan: Parameters<typeof runRefusedLeader>[0]): Promise<Violation[]> => {
   const outcome = await runRefusedLeader(plan);
@@ -33,7 +30,7 @@
     zones: ['a', 'b'],
     nodes: ['a', 'a', 'b'],
     ...siteTimings.caalv,
-    initial: smallMachines(6),
+    initial: [smallMachines(6)],
   });
   await cluster.begin();
   const [shard = ''] = cluster.ledShards(0);
@@ -82,10 +79,10 @@
  */
 async function delayedLaunchCommand(): Promise<Violation[]> {
   const cluster = new ScenarioCluster({
-    ...singleZone,
+    zones: ['a'],
     nodes: ['a'],
     ...siteTimings.caalv,
-    initial: smallMachines(2),
+    initial: [smallMachines(2)],
   });
   await cluster.begin();
   cluster.submit({ id: 'j-1', tasks: 2, cores: 2 }, longRunS);
@@ -112,10 +109,10 @@
  */
 async function staleHeartbeatAnswered(): Promise<Violation[]> {
   const cluster = new ScenarioCluster({
-    ...singleZone,
+    zones: ['a'],
     nodes: ['a'],
     ...siteTimings.caalv,
-    initial: smallMachines(2),
+    initial: [smallMachines(2)],
   });
   await cluster.begin();
   cluster.submit({ tasks: 2, cores: 2 }, longRunS);
@@ -154,7 +151,12 @@
   violations: Violation[];
   restartedAfterS: number;
 }> {
-  const cluster = new ScenarioCluster({ ...singleZone, ...siteTimings.caalv, initial: smallMachines(10) });
+  const cluster = new ScenarioCluster({
+    zones: ['a'],
+    nodes: ['a', 'a'],
+    ...siteTimings.caalv,
+    initial: [smallMachines(10)],
+  });
   await cluster.begin();
   const [shard = ''] = cluster.ledShards(0);
   cluster.submit({ tasks: 20, cores: 2 }, longRunS);
@@ -186,7 +188,7 @@
  * open.
  */
 async function acceptedWithoutLeader(): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: smallMachines(9) });
+  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: [smallMachines(9)] });
   await cluster.begin();
   // Most queries are about jobs that all nodes have seen.
   for (let n = 0; n < 12; n++) cluster.submit({ id: `j-${String(100 + n)}`, tasks: 1, cores: 1 }, 300);
@@ -221,7 +223,7 @@
   const cluster = new ScenarioCluster({
     zones: ['a'],
     nodes: ['a', 'a', 'a'],
-    initial: smallMachines(9),
+    initial: [smallMachines(9)],
     ...(longBefore ? { store: unlimitedStore } : {}),
   });
   await cluster.begin();
@@ -254,90 +256,6 @@
   return cluster.checker.violations;
 }
 
-/**
- * Two of every three writes to keys that begin with `kind` are applied late, after newer ones, and never
- * answered. Meanwhile jobs are accepted, run and cancelled.
- */
-async function lateWritesOf(kind: string): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, nodes: ['a', 'a', 'a'], initial: smallMachines(10) });
-  let matchingWrites = 0;
-  const applyLate = (keys: string[]): TransactionFault | null => {
-    if (!keys.some((key) => key.startsWith(kind)) || matchingWrites++ % 3 === 2) return null;
-    return { appliedAfterMs: 2000 + ((matchingWrites * 3700) % 10_000), answered: false };
-  };
-  // Machine records are written when machines come up, so the fault must begin first.
-  if (kind === 'live/machines/') cluster.store.transactionFaultFor = applyLate;
-  await cluster.begin();
-  cluster.store.transactionFaultFor = applyLate;
-  const jobs = Array.from({ length: 10 }, (_, n) => `j-${String(n)}`);
-  for (const [n, id] of jobs.entries()) {
-    // Tasks complete at different times, so that each page is written many times.
-    cluster.submit({ id, tasks: 6, cores: 1, zone: 'a' }, 4 + 3 * n);
-    await cluster.run(2);
-    if (n % 4 === 3) void cluster.cancelAtNode(id, n % 3);
-    if (n === 5) {
-      cluster.killController(0);
-      cluster.time.after(1500, () => cluster.startController(0, 50));
-    }
-  }
-  await cluster.run(45);
-  cluster.killController(1);
-  await cluster.run(15);
-  cluster.store.transactionFaultFor = null;
-  cluster.startController(1, 50);
-  await cluster.run(120);
-  requirePrecondition(`writes to ${kind}`, matchingWrites > 0);
-  for (const id of jobs)
-    if (cluster.checker.finalState(id) === null) cluster.checker.reportViolation('stuck', [id], id);
-  return cluster.checker.violations;
-}
-
-/**
- * Jobs of two and three tasks whose results arrive at long intervals. Controllers stop and restart between
- * them, so that the results of a job reach several leaders.
- */
-async function resultsAcrossLeaderChanges(): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, nodes: ['a', 'a', 'a'], initial: smallMachines(8) });
-  await cluster.begin();
-  const works = [2, 3, 2, 3].map((tasks, n) => {
-    const id = `j-${String(n)}`;
-    const work = cluster.submit({ id, tasks, cores: 4 }, 0);
-    // The first task completes within seconds. About two controllers stop before each later one completes.
-    Object.assign(work, { runS: (index: number) => 6 + 26 * index + n });
-    return work;
-  });
-  for (const [node, atS] of [0, 1, 2, 0].map((each, n) => [each, 10 + 16 * n] as const)) {
-    cluster.time.after(atS * 1000, () => {
-      // Right after results were received, mostly before they are persisted.
-      cluster.killController(node);
-      cluster.time.after(5200, () => cluster.startController(node, 50));
-    });
-  }
-  await cluster.run(150);
-  for (const { spec, results } of works)
-    if (cluster.checker.finalState(spec.id) !== 'done' || results.size < spec.tasks)
-      cluster.checker.reportViolation('stuck', [spec.id], spec.id);
-  return cluster.checker.violations;
-}
-
-/**
- * A controller restarts before its peers notice. Its shard has no leader until the shard is taken over again.
- */
-async function restartBeforeDetection(): Promise<Violation[]> {
-  const zones = ['a', 'b', 'c'];
-  const initial = zones.map((zone) => ({ type: 'small', zone, spot: false, count: 3 }));
-  const cluster = new ScenarioCluster({ zones, nodes: zones, initial });
-  await cluster.begin();
-  cluster.killController(0);
-  await cluster.run(0.06);
-  cluster.startController(0, 50);
-  await cluster.run(1);
-  cluster.submit({ tasks: 6, zone: 'a' }, 5);
-  await cluster.run(60);
-  if (cluster.checker.finalState('j-1') !== 'done') cluster.checker.reportViolation('stuck', ['j-1'], 'j-1');
-  return cluster.checker.violations;
-}
-
 /**
  * A leader is isolated from the key-value store and its peers, but users reach it. Other nodes must soon
  * serve them.
@@ -346,7 +264,7 @@
   violations: Violation[];
   slowSubmissions: number;
 }> {
-  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: smallMachines(9) });
+  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: [smallMachines(9)] });
   await cluster.begin();
   const heal = cluster.network.startPartition(
     'hold',
@@ -372,7 +290,7 @@
  * balancer considers healthy. Returns the lowest count.
  */
 export async function healthyInOutage(): Promise<number> {
-  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: smallMachines(6) });
+  const cluster = new ScenarioCluster({ zones: ['a'], nodes: ['a', 'a', 'a'], initial: [smallMachines(6)] });
   await cluster.begin();
   cluster.killController(2); // restarts without records: it leads no shard and is not ready, but it is alive
   cluster.store.setOutage(true);
@@ -441,13 +359,6 @@
     cancelledWithoutLeader({ longBefore: false }),
   'a cancellation missed by the leader, confirmed long before that node restarts': () =>
     cancelledWithoutLeader({ longBefore: true }),
-  ...Object.fromEntries(
-    ['live/job/', 'live/progress/', 'live/machines/', 'live/part/', 'live/node/'].map(
-      (kind): [string, ScriptedScenario] => [`writes to ${kind} applied late`, () => lateWritesOf(kind)],
-    ),
-  ),
-  'a node that restarts within a fraction of a second': restartBeforeDetection,
-  'results recorded across several leader changes': resultsAcrossLeaderChanges,
   'jobs accepted without the leader before a store outage': acceptedWithoutLeader,
   'a leader isolated from the key-value store and its peers': async () =>
     (await leaderIsolatedFromPeersAndStore()).violations,
@@ -457,6 +368,7 @@
 /** All scenarios by name. The mutants refer to these names. */
 export const scenarios: Record<string, ScriptedScenario> = {
   ...leaderFaultScenarios,
+  ...restartScenarios,
   ...idleWaitScenarios,
   ...machineFaultScenarios,
   ...heartbeatScenarios,
--- a/packages/emulator/test/leader-faults.test.ts
+++ b/packages/emulator/test/leader-faults.test.ts
@@ -6,10 +6,11 @@
   healthyInOutage,
   leaderFaultScenarios,
 } from './leader-fault-scenarios.ts';
+import { restartScenarios } from './restart-scenarios.ts';
 import { siteTimings, runRefusedLeader } from './refused-leader.ts';
 
 describe('combined leader faults violate no invariant', () => {
-  for (const [name, scenario] of Object.entries(leaderFaultScenarios)) {
+  for (const [name, scenario] of Object.entries({ ...leaderFaultScenarios, ...restartScenarios })) {
     it(name, async () => assert.deepEqual(await scenario(), []));
   }
 
--- a/packages/emulator/test/machine-fault-scenarios.ts
+++ b/packages/emulator/test/machine-fault-scenarios.ts
@@ -5,17 +5,7 @@
   requirePrecondition,
   type ScriptedScenario,
 } from './scripted-scenario.ts';
-import { smallType } from './test-cluster.ts';
-
-const smallMachines = (
-  count: number,
-  zone = 'a',
-): { type: string; zone: string; spot: boolean; count: number } => ({
-  type: 'small',
-  zone,
-  spot: false,
-  count,
-});
+import { smallMachines, smallType } from './test-cluster.ts';
 
 /**
  * The heartbeats of half of the machines reach no controller for longer than several leases, while commands
--- a/packages/emulator/test/mutants.test.ts
+++ b/packages/emulator/test/mutants.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { detect, mutants } from './mutants.ts';
+import { detect } from './mutant-detection.ts';
+import { mutants } from './mutants.ts';
 
 /** Random scenarios within which each mutant must be detected: about twice what the slowest mutant needs. */
 const MAX_RUNS = 150;
--- a/packages/emulator/test/quick-restarts.test.ts
+++ b/packages/emulator/test/quick-restarts.test.ts
@@ -4,7 +4,7 @@
 import { controllerAddress } from '../src/deployment.ts';
 import { runSeededScenario, scenarioSeed } from '../src/randomized-testing.ts';
 import { readJobState } from '../src/protocol/wire.ts';
-import { TestCluster } from './test-cluster.ts';
+import { smallMachines, TestCluster } from './test-cluster.ts';
 
 /** Scenarios of quick restarts and late copies that run here. The long run is in docs/emulator.md. */
 const SCENARIOS = 6;
@@ -82,7 +82,7 @@
   });
 
   it('stays up when the node record of its previous process is written late', async () => {
-    const initial = [{ type: 'small', zone: 'a', spot: false, count: 18 }];
+    const initial = [smallMachines(18)];
     const world = new TestCluster({ ...threeNodes, initial });
     await world.begin();
     let registrations = 0;
@@ -109,7 +109,7 @@
   it('runs no task twice when an old heartbeat lists tasks that its worker has lost since', async () => {
     // No controller receives the heartbeats of one worker, so its lease expires and its tasks run elsewhere.
     // After a failover, the next leader's first heartbeat from this worker is a copy from before the expiry.
-    const initial = [{ type: 'small', zone: 'a', spot: false, count: 12 }];
+    const initial = [smallMachines(12)];
     const world = new TestCluster({ nodes: ['a', 'a'], initial, heartbeatS: 5, leaseS: 31, cancelS: 61 });
     await world.begin();
     const job = world.submit({ tasks: 24, ramGb: 2 }, 120);
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -41,7 +41,6 @@
 export class ScenarioCluster extends TestCluster {
   /** The node that leads the shard with the most machines when the scenario begins. */
   leader = 0;
-  confirmedAt = Infinity;
 
   get otherNodes(): number[] {
     return this.deployment.nodes.map((_, n) => n).filter((n) => n !== this.leader);
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -7,6 +7,7 @@
   type ScriptedScenario,
   violationsAfterCompletion,
 } from './scripted-scenario.ts';
+import { smallMachines } from './test-cluster.ts';
 
 const longRunS = 1000;
 /** Seconds after which a node reports an end although no majority is known to know it. */
@@ -20,7 +21,7 @@
   const cluster = new ScenarioCluster({
     zones: ['a'],
     nodes: ['a', 'a', 'a'],
-    initial: [{ type: 'small', zone: 'a', spot: false, count: 9 }],
+    initial: [smallMachines(9)],
     ...deployment,
   });
   await cluster.begin();
--- a/packages/emulator/test/test-cluster.ts
+++ b/packages/emulator/test/test-cluster.ts
@@ -15,6 +15,10 @@
   spotPrice: 0.1,
   bootS: 12,
 };
+/** Machines of the type `small` that are up from the start. */
+export function smallMachines(count: number, zone = 'a'): Deployment['initial'][number] {
+  return { type: 'small', zone, spot: false, count };
+}
 const large = { ...smallType, name: 'large', cores: 16, ramGb: 128, price: 0.8, spotPrice: 0.2 };
 
 export const plainJob: JobSpec = {
--- a/packages/emulator/test/user-request-scenarios.ts
+++ b/packages/emulator/test/user-request-scenarios.ts
@@ -7,13 +7,10 @@
   requirePrecondition,
   type ScriptedScenario,
 } from './scripted-scenario.ts';
+import { smallMachines } from './test-cluster.ts';
 
 const longRunS = 1000;
 const singleZone = { zones: ['a'], nodes: ['a', 'a', 'a'] };
-const smallMachines = (count: number): { type: string; zone: string; spot: boolean; count: number }[] => [
-  { type: 'small', zone: 'a', spot: false, count },
-];
-
 /** Makes users query all nodes. Returns a function that counts the queries sent directly to a node so far. */
 function countDirectQueries(cluster: ScenarioCluster): () => number {
   let directQueries = 0;
@@ -37,7 +34,7 @@
   injectFault: (cluster: ScenarioCluster, n: number) => void,
   seed = 1,
 ): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, initial: smallMachines(12) }, undefined, seed);
+  const cluster = new ScenarioCluster({ ...singleZone, initial: [smallMachines(12)] }, undefined, seed);
   await cluster.begin();
   const directQueries = countDirectQueries(cluster);
   for (let n = 0; n < 24; n++) {
@@ -73,7 +70,7 @@
 async function lostWriteResponses(kind: string): Promise<Violation[]> {
   const cluster = new ScenarioCluster({
     ...singleZone,
-    initial: smallMachines(10),
+    initial: [smallMachines(10)],
     teams: [{ name: 'red', cores: 8, maxCores: 24 }],
   });
   let matchingWrites = 0;
@@ -111,7 +108,7 @@
 async function responsesLostOneWay(): Promise<Violation[]> {
   const cluster = new ScenarioCluster({
     ...singleZone,
-    initial: smallMachines(12),
+    initial: [smallMachines(12)],
     teams: [{ name: 'red', cores: 8, maxCores: 24 }],
   });
   await cluster.begin();
@@ -143,7 +140,7 @@
   const cluster = new ScenarioCluster({
     zones: ['a'],
     nodes: ['a', 'a'],
-    initial: smallMachines(10),
+    initial: [smallMachines(10)],
     teams: [
       { name: 'red', cores: 8, maxCores: 24 },
       { name: 'blue', cores: 8, maxCores: 0 },
@@ -186,7 +183,7 @@
     ...singleZone,
     nodes: ['a', 'a'],
     ...siteTimings.caalv,
-    initial: smallMachines(6),
+    initial: [smallMachines(6)],
   });
   await cluster.begin();
   cluster.submit({ tasks: 24, cores: 2 }, longRunS);
@@ -218,7 +215,7 @@
  * of nodes.
  */
 async function requestsAtCompletion(): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, initial: smallMachines(8) });
+  const cluster = new ScenarioCluster({ ...singleZone, initial: [smallMachines(8)] });
   await cluster.begin();
   const ends = { done: 0, cancelled: 0 };
   let n = 0;
@@ -262,7 +259,7 @@
   const cluster = new ScenarioCluster({
     ...singleZone,
     ...siteTimings.matkaturva,
-    initial: smallMachines(16),
+    initial: [smallMachines(16)],
   });
   await cluster.begin();
   const [shard = ''] = cluster.ledShards(0);
@@ -300,7 +297,7 @@
 ): Promise<Violation[]> {
   const cluster = new ScenarioCluster({
     ...singleZone,
-    initial: smallMachines(14),
+    initial: [smallMachines(14)],
     teams: [{ name: 'red', cores: 8, maxCores: 0 }],
   });
   await cluster.begin();
