--- a/packages/scheduler/src/storage/records.ts
+++ b/packages/scheduler/src/storage/records.ts
@@ -1,8 +1,9 @@
 /**
  * The records in the key-value store, their keys and their purpose.
  *
- * Every controller watches all records under `live/`. Records under `job/` are read one by one: finished jobs
- * are kept for ever, and cost nothing until a user asks for one. `record-codec.ts` defines the stored form.
+ * Every controller watches all records under `live/`. Records under `job/` are read one by one, and the latest
+ * of them at a start: finished jobs are kept for ever, and cost nothing until a user asks for one.
+ * `record-codec.ts` defines the stored form.
  */
 import { SLICE_RECORD_OVERHEAD_BYTES } from '../constants.ts';
 import type { Revision } from '../protocol/key-value.ts';
