--- a/review/standins/controllers.mjs
+++ b/review/standins/controllers.mjs
@@ -15,16 +15,22 @@
   return line[1].split(' ');
 }
 
+/** Free ports below those that the system gives to outgoing connections, which would take them before the start. */
 export async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => {
-      const server = createServer();
-      return new Promise((resolve) => server.listen(0, '127.0.0.1', () => resolve(server)));
-    }),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  const ports = new Set();
+  for (let tries = 0; ports.size < count && tries < 1000; tries++) {
+    const port = 10_000 + Math.floor(Math.random() * 20_000);
+    if (await isFree(port)) ports.add(port);
+  }
+  return [...ports];
+}
+
+function isFree(port) {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
 
 export class Controllers {
