Review case 1: tasks run in two zones after a late copy of a refused migration

A migration that the key-value store rejects is taken for one that never takes effect, but its conditions go on holding. A late copy of it gives tasks to another shard while they run in the first, and the shortened slice forgets them there.

Change: a case that breaks ran_twice with an outage and late copies of the transactions sent in it.

--- a/review/standins/case.mjs
+++ b/review/standins/case.mjs
@@ -76,12 +76,12 @@
     this.record.line('all controllers are ready');
   }
 
-  async startWorkers() {
-    let number = 0;
-    for (const { zone, type, count } of this.machines) {
+  /** Starts machines: at first those of the deployment. */
+  async startWorkers(machines = this.machines) {
+    for (const { zone, type, count } of machines) {
       for (let i = 0; i < count; i++) {
         const worker = new Worker({
-          id: `n-${String(++number).padStart(6, '0')}`,
+          id: `n-${String(this.workers.length + 1).padStart(6, '0')}`,
           type: this.types.find(({ name }) => name === type),
           zone,
           nodes: this.controllers.nodes.map(({ name, address }) => ({ name, address })),
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -37,6 +37,10 @@
     this.isDown = false;
     /** While it is slow: the least and the most milliseconds that a request waits before it is served. */
     this.slowMs = null;
+    /** While it is set: milliseconds after which a late copy of each transaction arrives, whatever the first got. */
+    this.copyAfterMs = null;
+    /** Called with the writes of each transaction that is carried out; `isCopy`: by a late copy. */
+    this.onCommit = () => {};
     /** Ports whose requests get 503, as if the service refused these clients alone. */
     this.refused = new Set();
     this.servers = [];
@@ -75,9 +79,15 @@
       const [least, most] = (this.isDown ? null : this.slowMs) ?? [this.latencyMs, this.latencyMs];
       const waitMs = least + Math.random() * (most - least);
       setTimeout(() => this.serve(req, res, port, text), waitMs);
+      if (this.copyAfterMs !== null && req.url === '/txn') setTimeout(() => this.receiveCopy(text), this.copyAfterMs);
     });
   }
 
+  /** A late copy of a transaction arrives; nobody waits for its answer. */
+  receiveCopy(text) {
+    if (!this.isDown && this.requests.take(1)) this.transact(JSON.parse(text), text.length, true);
+  }
+
   serve(req, res, port, text) {
     const reply = (status, body) => {
       if (res.writableEnded || res.destroyed) return;
@@ -153,7 +163,7 @@
     }
   }
 
-  transact({ when = [], writes = [] }, bytes) {
+  transact({ when = [], writes = [] }, bytes, isCopy = false) {
     if (writes.length > this.txnOps || when.length > 4 * this.txnOps || bytes > 64 * 1024)
       return [400, { error: 'too large' }];
     if (writes.some(({ v }) => v !== undefined && JSON.stringify(v).length > this.valueKb * 1024))
@@ -168,6 +178,7 @@
     if (writes.length > 0) {
       this.apply(writes);
       setImmediate(() => this.answerWatches());
+      this.onCommit(writes, isCopy);
     }
     return [200, { protocollo: this.revision }];
   }
