--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -1,6 +1,7 @@
 import type { Violation } from '../src/invariant-checker.ts';
 import { readCommands } from '../src/protocol/wire.ts';
 import { idleWaitScenarios } from './idle-wait-scenarios.ts';
+import { lateReportScenarios } from './late-report-scenarios.ts';
 import { machineFaultScenarios } from './machine-fault-scenarios.ts';
 import { ScenarioCluster, siteTimings, runRefusedLeader, unlimitedStore } from './refused-leader.ts';
 import { heartbeatScenarios } from './heartbeat-scenarios.ts';
@@ -374,4 +375,5 @@
   ...heartbeatScenarios,
   ...userRequestScenarios,
   ...storeOutageScenarios,
+  ...lateReportScenarios,
 };
--- a/packages/scheduler/src/coordination/scheduling/pending-task-migration.ts
+++ b/packages/scheduler/src/coordination/scheduling/pending-task-migration.ts
@@ -130,10 +130,7 @@
     }
     // A refused first attempt has had no effect and never will. A refused retry proves nothing, because the
     // first attempt may have changed the version.
-    if (attempt === 'first') {
-      slice.endMigration(slice.count);
-      shard.requestScheduling();
-    }
+    if (attempt === 'first') shard.onMigrationRefused(slice);
     return 'refused';
   }
 
--- a/packages/scheduler/src/coordination/shard-leader.ts
+++ b/packages/scheduler/src/coordination/shard-leader.ts
@@ -90,6 +90,7 @@
     this.fencing = new MachineFencing(context, this.prober);
     this.shardSlices = new ShardSlices(this, {
       onPending,
+      onSettled: (slice) => this.records.recordSettled(slice),
       onAdded: () => this.scheduler.slicesChanged(),
       onDropped: (slice) => this.onSliceDropped(slice),
     });
@@ -181,6 +182,11 @@
     this.shardSlices.set(assignment);
   }
 
+  /** The migration of the slice's last tasks was refused and never takes effect: they stay in this shard. */
+  onMigrationRefused(slice: Slice): void {
+    this.shardSlices.endMigration(slice, slice.count);
+  }
+
   /** Removes a slice whose job is over; its running tasks are stopped. */
   dropSlice(name: string): void {
     this.shardSlices.drop(name);
--- a/packages/scheduler/src/coordination/shard-slices.ts
+++ b/packages/scheduler/src/coordination/shard-slices.ts
@@ -7,6 +7,8 @@
 export interface SliceListener {
   /** Tasks may have become pending. */
   onPending(): void;
+  /** Tasks of the slice have been settled. */
+  onSettled(slice: Slice): void;
   /** A slice has been added. */
   onAdded(): void;
   /** A slice has been dropped: its job is over, or all its tasks have migrated to other shards. */
@@ -31,13 +33,19 @@
     if (slice) {
       // Only this leader shortens the slice. If another writer changed the record, a migration that was
       // conditioned on the old version has failed, and its tasks are pending again.
-      slice.endMigration(assignment.count);
-      return this.listener.onPending();
+      return this.endMigration(slice, assignment.count);
     }
     slices.set(assignment.name, new Slice(assignment, false));
     this.listener.onAdded();
   }
 
+  /** The outcome of the slice's migration, if any, is known: it has `count` tasks now. */
+  endMigration(slice: Slice, count: number): void {
+    if (slice.cancelled) return;
+    if (slice.endMigration(count)) this.listener.onSettled(slice);
+    this.listener.onPending();
+  }
+
   /** Removes a slice; the listener stops its running tasks. */
   drop(name: string): void {
     const slice = this.shard.slices.get(name);
--- a/packages/scheduler/src/coordination/workers/task-attempts.ts
+++ b/packages/scheduler/src/coordination/workers/task-attempts.ts
@@ -126,8 +126,7 @@
   /** Records that the task has its result. A service task has none: a replica that exits is replaced. */
   settle(slice: Slice, position: number): void {
     if (slice.spec.kind === 'service') return;
-    slice.settle(position);
-    this.collaborators.listener.onSettled(slice);
+    if (slice.settle(position)) this.collaborators.listener.onSettled(slice);
   }
 
   /** Ends an attempt that has certainly gone from its machine without a result. */
--- a/packages/scheduler/src/storage/open-jobs.ts
+++ b/packages/scheduler/src/storage/open-jobs.ts
@@ -22,6 +22,16 @@
   nextCompletionTryAt: number;
 }
 
+/** The settled tasks of a slice as its progress record has them. */
+interface RecordedTasks {
+  /** An encoded `TaskSet`. It may have been written before the last tasks of the slice migrated. */
+  readonly encoded: string;
+  /** The number of tasks of the slice for which `size` was counted. */
+  count: number;
+  /** Number of settled tasks among the first `count`. */
+  size: number;
+}
+
 /**
  * Index of the open jobs and their progress. It is updated with each change, so that a change of one job
  * never requires a pass over all of them.
@@ -34,7 +44,7 @@
   /** Jobs known to be finished that are still open in the watched records. */
   private readonly closed = new Set<JobId>();
   /** Settled tasks by slice name. */
-  private readonly settledTasks = new Map<string, { encoded: string; size: number }>();
+  private readonly settledTasks = new Map<string, RecordedTasks>();
   /** Names of the slices on each page of progress, by the page's key. */
   private readonly slicesByPage = new Map<string, string[]>();
 
@@ -96,7 +106,7 @@
     for (const name of names) {
       const encoded = settled[name] ?? '';
       if (this.settledTasks.get(name)?.encoded === encoded) continue;
-      this.settledTasks.set(name, { encoded, size: TaskSet.countIn(encoded) });
+      this.settledTasks.set(name, { encoded, count: 0, size: 0 });
       changedJobs.add(name.split('/').at(-2) ?? ''); // the job's id, see `sliceName`
     }
     for (const id of changedJobs) {
@@ -128,11 +138,21 @@
    */
   unsettledBySlice(job: OpenJob): number[] {
     return job.record.slices.map(
-      ({ shard, count }, index) =>
-        count - (this.settledTasks.get(sliceName(shard, job.id, index))?.size ?? 0),
+      ({ shard, count }, index) => count - this.settledCount(sliceName(shard, job.id, index), count),
     );
   }
 
+  /** How many of the slice's `count` tasks are settled in the records. */
+  private settledCount(name: string, count: number): number {
+    const recorded = this.settledTasks.get(name);
+    if (!recorded) return 0;
+    if (recorded.count !== count) {
+      recorded.count = count;
+      recorded.size = TaskSet.countIn(recorded.encoded, count);
+    }
+    return recorded.size;
+  }
+
   /** Counts the job's unsettled tasks again. Settled tasks stay settled, so a complete job stays complete. */
   private updateProgress(job: OpenJob, now: number): void {
     job.unsettledTasks = this.unsettledBySlice(job).reduce((sum, tasks) => sum + tasks, 0);
--- a/packages/scheduler/src/storage/slice.ts
+++ b/packages/scheduler/src/storage/slice.ts
@@ -61,6 +61,8 @@
    * the outcome of the migration is known.
    */
   migrating = 0;
+  /** Positions of migrating tasks whose result has arrived. It counts here only if they do not migrate. */
+  private readonly migratingWithResult = new Set<number>();
   private tasks: number;
 
   /**
@@ -107,19 +109,35 @@
 
   /**
    * The outcome of the migration is known, and the slice has `count` tasks now. If the tasks did not migrate,
-   * they are pending again and are started last.
+   * those whose result arrived meanwhile are settled, and the others are pending again and are started last.
+   * Returns whether any was settled.
    */
-  endMigration(count: number): void {
-    const returned = this.count === count ? this.migrating : 0;
-    const positions = Array.from({ length: returned }, (_, i) => count - 1 - i);
-    this.pending.unshift(...positions);
+  endMigration(count: number): boolean {
+    const positions = Array.from({ length: this.migrating }, (_, i) => this.count - 1 - i);
+    const withResult = [...this.migratingWithResult];
     this.migrating = 0;
-    if (this.count === count) return;
+    this.migratingWithResult.clear();
+    if (this.count !== count) {
+      this.shorten(count);
+      return false;
+    }
+    for (const position of withResult) this.settled.add(position);
+    this.pending.unshift(...positions.filter((position) => !this.settled.has(position)));
+    return withResult.length > 0;
+  }
+
+  /** The tasks from position `count` on belong to another shard now. */
+  private shorten(count: number): void {
     this.tasks = count;
     this.settled = new TaskSet(count, this.settled.encode());
     this.persisted = new TaskSet(count, this.persisted.encode());
   }
 
+  /** Whether the task at the position is migrating to another shard. */
+  isMigrating(position: number): boolean {
+    return position >= this.count - this.migrating && position < this.count;
+  }
+
   /** The share of the slice's tasks that are pending. */
   get pendingShare(): number {
     return this.pending.length / this.count;
@@ -161,12 +179,20 @@
     else this.backingOff.push({ position, until: backoffUntil });
   }
 
-  /** The task's result is known. */
-  settle(position: number): void {
+  /**
+   * The task's result is known. Returns whether the task is settled now. While it is migrating, it is not:
+   * once it has migrated, a result in this slice's record would count for no task.
+   */
+  settle(position: number): boolean {
+    if (this.isMigrating(position)) {
+      this.migratingWithResult.add(position);
+      return false;
+    }
     this.unreconciled.delete(position);
     removeLast(this.pending, position);
     this.placed.delete(position);
     this.settled.add(position);
+    return true;
   }
 
   /**
--- a/packages/scheduler/src/storage/task-set.ts
+++ b/packages/scheduler/src/storage/task-set.ts
@@ -10,7 +10,7 @@
 
   /**
    * Positions range from 0 to `capacity`, exclusive. `encoded` holds the initial members, as returned by
-   * `encode`.
+   * `encode`. It may be the encoding of a larger set; members from `capacity` on are dropped.
    */
   constructor(
     /** Positions that the set can hold. */
@@ -19,14 +19,15 @@
   ) {
     this.bits = new Uint8Array(Math.ceil(capacity / 8));
     this.bits.set(Buffer.from(encoded, 'base64').subarray(0, this.bits.length));
-    for (let position = 0; position < capacity; position++) if (this.has(position)) this.members++;
+    const bitsInLastByte = capacity % 8;
+    const last = this.bits.length - 1;
+    if (bitsInLastByte > 0) this.bits[last] = (this.bits[last] ?? 0) & ((1 << bitsInLastByte) - 1);
+    this.members = countBits(this.bits);
   }
 
-  /** Number of members of an encoded set. */
-  static countIn(encoded: string): number {
-    let members = 0;
-    for (let byte of Buffer.from(encoded, 'base64')) for (; byte > 0; byte &= byte - 1) members++;
-    return members;
+  /** Number of members below `capacity` of an encoded set. */
+  static countIn(encoded: string, capacity: number): number {
+    return encoded === '' ? 0 : new TaskSet(capacity, encoded).size;
   }
 
   /** Number of members. */
@@ -57,3 +58,9 @@
     return this.members === 0 ? '' : Buffer.from(this.bits).toString('base64');
   }
 }
+
+function countBits(bytes: Uint8Array): number {
+  let bits = 0;
+  for (let byte of bytes) for (; byte > 0; byte &= byte - 1) bits++;
+  return bits;
+}
--- a/packages/scheduler/test/support/wire-samples.ts
+++ b/packages/scheduler/test/support/wire-samples.ts
@@ -222,7 +222,7 @@
   const packed = set.encode();
   const back = new TaskSet(capacity, packed);
   const found = Array.from({ length: capacity }, (_, i) => i).filter((i) => back.has(i));
-  return `"${packed}" ${String(TaskSet.countIn(packed))} ${String(back.full)} ${found.join(',')}`;
+  return `"${packed}" ${String(TaskSet.countIn(packed, capacity))} ${String(back.full)} ${found.join(',')}`;
 }
 
 function partsText(zones: string[], controllers: number): string {
@@ -283,7 +283,7 @@
     { longer: '/////w==', 'not base64': '*?', 'beyond the capacity': '//8=' },
     (packed) => {
       const set = new TaskSet(10, packed);
-      return `${String(set.size)} "${set.encode()}" ${String(TaskSet.countIn(packed))}`;
+      return `${String(set.size)} "${set.encode()}" ${String(TaskSet.countIn(packed, 10))}`;
     },
   ),
   pages: pagesText,
--- a/packages/scheduler/test/task-set.test.ts
+++ b/packages/scheduler/test/task-set.test.ts
@@ -14,6 +14,16 @@
     assert.deepEqual([again.has(19), again.has(18)], [true, false]);
   });
 
+  // Guards against `not_done` (docs/incidents/results-during-a-migration.md).
+  it('made smaller than the encoded set has and encodes no member beyond its capacity', () => {
+    const larger = new TaskSet(8);
+    for (const position of [0, 2, 5]) larger.add(position);
+    const smaller = new TaskSet(4, larger.encode());
+    assert.deepEqual([smaller.size, smaller.has(5)], [2, false]);
+    assert.equal(new TaskSet(8, smaller.encode()).size, 2);
+    assert.equal(TaskSet.countIn(larger.encode(), 4), 2);
+  });
+
   it('encodes a full slice in fewer bytes than the key-value store allows for a value', () => {
     for (const kb of [8, 32]) {
       const capacity = sliceCapacity(kb);
