Do not place a migrating task that a late report lists as running (ran_twice)

Cause: a leader adopts an attempt that it has no record of if the task is free, and free meant neither settled nor placed. A migrating task is neither. So a report held since before the lease ended placed it while the migration's transaction was on its way. Once it was committed and the worker's next agent epoch was seen, Slice.unplace made the position pending again, beyond the end of the shortened slice, and both shards started the task.

Change: a migrating task is not free. The attempt is adopted without a slice, as one of a task that this shard does not have, and is stopped; the machine takes nothing until its next report. A pending task runs nowhere, hence a migrating one neither, so the report is older than the loss and nothing has to wait for the stop: if the migration is refused, the task is pending at once. If an attempt without a slice is reported with a result later, the result counts, as it already did in a first report of the attempt; without this, a result after a report of running would be lost while the task migrates.

Evidence: 42 scenarios, reports of running, of done and of one after the other, from before and after fencing, by seven outcomes of the migration. A mutant that takes a migrating task for free is caught.

--- a/packages/emulator/test/late-report-scenarios.ts
+++ b/packages/emulator/test/late-report-scenarios.ts
@@ -163,10 +163,16 @@
   },
 };
 
-/** The scenario for each outcome, with a report of a result from before fencing. */
+const reports: readonly Report[] = ['running', 'done', 'running, then done'];
+
+/** The scenario for each report, from the time before and after fencing, and each outcome. */
 export const lateReportScenarios: Record<string, ScriptedScenario> = Object.fromEntries(
-  Object.entries(outcomes).map(([name, outcome]): [string, ScriptedScenario] => [
-    `a late report of "done" from before fencing, and the migration ${name}`,
-    () => lateReportDuringMigration({ report: 'done', beforeFencing: true, ...outcome }),
-  ]),
+  reports.flatMap((report) =>
+    [false, true].flatMap((beforeFencing) =>
+      Object.entries(outcomes).map(([name, outcome]): [string, ScriptedScenario] => [
+        `a late report of "${report}"${beforeFencing ? ' from before fencing' : ''}, and the migration ${name}`,
+        () => lateReportDuringMigration({ report, beforeFencing, ...outcome }),
+      ]),
+    ),
+  ),
 );
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -124,6 +124,13 @@
     put: "if (attempt === 'retry') {",
     detectedBy: { size: 'strangers' },
   },
+  {
+    name: 'a migrating task adopted from a report',
+    file: 'coordination/workers/reported-tasks.ts',
+    find: '!slice.isMigrating(position);',
+    put: 'true;',
+    detectedBy: { scenario: 'a late report of "running", and the migration is committed' },
+  },
   {
     name: 'a one-zone job migrated to another zone while some of its tasks run',
     file: 'coordination/scheduling/migration-constraints.ts',
--- a/packages/scheduler/src/coordination/workers/reported-tasks.ts
+++ b/packages/scheduler/src/coordination/workers/reported-tasks.ts
@@ -2,11 +2,23 @@
 import { type Attempt, attemptKey } from '../../storage/attempt.ts';
 import { type Machine, recordImageUse } from '../../storage/machine.ts';
 import type { Slice } from '../../storage/slice.ts';
-import { type Command, type Heartbeat, parseTaskName, type ReportedTask } from '../../protocol/workers.ts';
+import {
+  type Command,
+  type EndReason,
+  type Heartbeat,
+  parseTaskName,
+  type ReportedTask,
+} from '../../protocol/workers.ts';
 import type { Clock } from '../../transport/clock.ts';
 import type { ShardState } from '../shard-context.ts';
 import type { TaskAttempts } from './task-attempts.ts';
 
+/** A task of the shard: its slice, and its position there. */
+interface TaskInSlice {
+  readonly slice: Slice;
+  readonly position: number;
+}
+
 /** How a worker's status arrived: in a heartbeat, or in the worker's answer to a call. */
 export type StatusSource = 'heartbeat' | 'reply';
 
@@ -42,11 +54,13 @@
    * count, because they are final.
    */
   applyResultsOnly(heartbeat: Heartbeat): void {
-    for (const { task, reason } of heartbeat.tasks) {
-      const found = reason === 'done' ? this.findTask(task) : null;
-      if (found && !found.slice.settled.has(found.position))
-        this.attempts.settle(found.slice, found.position);
-    }
+    for (const reported of heartbeat.tasks) this.applyResult(reported, this.findTask(reported.task));
+  }
+
+  /** Settles the reported task if it has a result. The result counts whichever attempt produced it. */
+  private applyResult({ reason }: ReportedTask, found: TaskInSlice | null): void {
+    if (reason !== 'done' || !found || found.slice.settled.has(found.position)) return;
+    this.attempts.settle(found.slice, found.position);
   }
 
   /**
@@ -59,7 +73,8 @@
     );
   }
 
-  private update(machine: Machine, attempt: Attempt, { state, reason }: ReportedTask): void {
+  private update(machine: Machine, attempt: Attempt, reported: ReportedTask): void {
+    const { state, reason } = reported;
     attempt.phase = 'seen';
     if (attempt.slice && (state === 'running' || reason === 'done')) {
       const { image, imageGb } = attempt.slice.spec;
@@ -67,7 +82,9 @@
     }
     attempt.state = state;
     if (state === 'running' && attempt.runningAt === Infinity) attempt.runningAt = this.clock.now();
-    if (reason !== null) this.attempts.end(machine, attempt, reason);
+    if (reason === null) return;
+    this.attempts.end(machine, attempt, reason);
+    if (!attempt.slice) this.recordEnd(machine, reported, reason);
   }
 
   private onUnlisted(machine: Machine, attempt: Attempt, source: StatusSource): void {
@@ -85,26 +102,41 @@
   /**
    * Adopts a reported attempt that this leader has no record of. An earlier leader started it, or this leader
    * had already counted it as lost. Returns null if the attempt has ended. The attempt is stopped unless
-   * this leader has a record of its task, and the task is neither settled nor placed.
+   * this leader has a record of its task, and the task is neither settled nor placed nor migrating.
    */
   private adopt(machine: Machine, key: string, reported: ReportedTask): Attempt | null {
     if (machine.endedAttempts.has(key)) return null;
     const { task, attempt: number, state, reason } = reported;
-    const { slice, position } = this.findTask(task) ?? { slice: null, position: 0 };
-    const identity = { key, task, number, slice, position };
     if (reason !== null) {
-      // The result counts whichever machine produced it. A result that this leader already has may not be in
-      // the key-value store yet. Until it is, the machine must keep it, because this leader may terminate
-      // before it stores the result.
-      if (slice && reason === 'done' && !slice.settled.has(position)) this.attempts.settle(slice, position);
-      this.attempts.recordEnd(machine, identity, reason);
+      this.recordEnd(machine, reported, reason);
       return null;
     }
-    const isFree = slice !== null && !slice.placed.has(position) && !slice.settled.has(position);
-    return this.attempts.adopt(machine, { ...identity, slice: isFree ? slice : null }, state);
+    const { slice, position } = this.findTask(task) ?? { slice: null, position: 0 };
+    // A migrating task runs nowhere, and its next shard may start it: the report is older than its loss.
+    const isFree =
+      slice !== null &&
+      !slice.placed.has(position) &&
+      !slice.settled.has(position) &&
+      !slice.isMigrating(position);
+    const identity = { key, task, number, slice: isFree ? slice : null, position };
+    return this.attempts.adopt(machine, identity, state);
+  }
+
+  /**
+   * Records the end of an attempt that belongs to no slice, or of which this leader has no record. A result
+   * that this leader already has may not be in the key-value store yet. Until it is, the machine must keep
+   * it, because this leader may terminate before it stores the result.
+   */
+  private recordEnd(machine: Machine, reported: ReportedTask, reason: EndReason): void {
+    const { task, attempt: number } = reported;
+    const found = this.findTask(task);
+    this.applyResult(reported, found);
+    const { slice, position } = found ?? { slice: null, position: 0 };
+    const key = attemptKey(task, number);
+    this.attempts.recordEnd(machine, { key, task, number, slice, position }, reason);
   }
 
-  private findTask(task: string): { slice: Slice; position: number } | null {
+  private findTask(task: string): TaskInSlice | null {
     const parsed = parseTaskName(task);
     if (!parsed) return null;
     for (const slice of this.shard.slices.values()) {
--- a/packages/scheduler/test/migration-outcomes.test.ts
+++ b/packages/scheduler/test/migration-outcomes.test.ts
@@ -41,6 +41,7 @@
   /** The recorded progress of the slice, as an encoded `TaskSet`. */
   recorded = '';
   private sequence = 0;
+  private agentEpoch = 1;
 
   constructor() {
     this.shard = new ShardLeader('a', FENCING_TOKEN, this.context(), new AbortController().signal, {
@@ -94,7 +95,7 @@
       type: 'small',
       zone: 'a',
       spot: false,
-      agentEpoch: 1,
+      agentEpoch: this.agentEpoch,
       sequence: ++this.sequence,
       fencingToken,
       preemptionNoticeS: null,
@@ -103,6 +104,12 @@
     return this.shard.onHeartbeat(heartbeat) ?? [];
   }
 
+  /** The first heartbeat of the worker's next agent epoch, in which nothing is on the machine. */
+  heartbeatOfNextEpoch(): Command[] {
+    this.agentEpoch++;
+    return this.heartbeat([]);
+  }
+
   /** Advances the clock until all progress is recorded and all forget commands are due. */
   async settleDown(tasks: ReportedTask[]): Promise<Command[]> {
     await this.clock.advance(PROGRESS_MS);
@@ -169,6 +176,55 @@
   });
 }
 
+// Guards against `ran_twice` (docs/incidents/tasks-placed-during-a-migration.md).
+describe('a migrating task that is reported as running', () => {
+  const stop: Command = { op: 'stop', task, attempt: 1, graceS: 0 };
+
+  it('stays migrating, and its attempt is stopped', () => {
+    const migrating = new MigratingShard();
+    assert.deepEqual(migrating.heartbeat([reportedTasks.running]), [stop]);
+    assert.equal(migrating.slice.placed.size, 0);
+    assert.ok(migrating.slice.isMigrating(REPORTED));
+  });
+
+  it('stays migrating if the status is from before fencing', () => {
+    const migrating = new MigratingShard();
+    migrating.heartbeat([reportedTasks.running], tokens['a former leader']);
+    assert.equal(migrating.slice.placed.size, 0);
+    assert.ok(migrating.slice.isMigrating(REPORTED));
+  });
+
+  it('is not pending in this shard once it has migrated and the worker has lost it', () => {
+    const migrating = new MigratingShard();
+    migrating.heartbeat([reportedTasks.running]);
+    migrating.showRecord(STAYING);
+    migrating.heartbeatOfNextEpoch();
+    assert.deepEqual([...migrating.slice.pending].sort(), [0, 1]);
+  });
+
+  for (const [outcome, refuse] of Object.entries(refusals)) {
+    it(`is pending once the migration ${outcome}, before and after the worker has lost it`, () => {
+      const migrating = new MigratingShard();
+      migrating.heartbeat([reportedTasks.running]);
+      refuse(migrating);
+      assert.deepEqual([...migrating.slice.pending].sort(), [0, 1, 2, 3, 4, 5]);
+      migrating.heartbeatOfNextEpoch();
+      assert.deepEqual([...migrating.slice.pending].sort(), [0, 1, 2, 3, 4, 5]);
+    });
+
+    it(`has its result once the migration ${outcome}, if it is reported as done next`, async () => {
+      const migrating = new MigratingShard();
+      migrating.heartbeat([reportedTasks.running]);
+      migrating.heartbeat([reportedTasks.done]);
+      refuse(migrating);
+      assert.deepEqual(await migrating.settleDown([reportedTasks.done]), [
+        { op: 'forget', task, attempt: 1 },
+      ]);
+      assert.deepEqual(migrating.recordedPositions(), [REPORTED]);
+    });
+  }
+});
+
 // A leader that ends in the middle of a migration hands over nothing about tasks that another shard may have.
 describe('the handover of a leader', () => {
   for (const result of [false, true]) {
