Let a worker forget the result of a migrated task only once it is recorded

What callers could see: a task that is done starts once more. A leader told a worker to forget a result as soon as the task was in no slice of its shard. That is right where the job is over, and wrong where the task has migrated: no record has the result then. In the other direction a result of one of several migrated tasks of a slice was never forgotten while the job lasted, and kept a draining machine from being returned.

Cause: EndedAttempt.slice null, and a dropped slice, were both read as "the job is over".

Change: where the task is in no slice of the shard, or beyond the end of its slice, the watched records decide: the job is over, or the slice that has the task now has the result.

The mutant "a result reported twice forgotten before it is persisted" let a known result count as belonging to no slice.

--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -38,7 +38,7 @@
   {
     name: 'a forget command sent before the result is persisted',
     file: 'coordination/workers/worker-commands.ts',
-    find: 'if (slice && !slice.cancelled && !slice.persisted.has(position)) continue;',
+    find: 'if (!this.mayForget(ended)) continue;',
     put: '',
     detectedBy: { size: 'strangers' },
   },
@@ -239,10 +239,10 @@
     detectedBy: { size: 'returns' },
   },
   {
-    name: 'a result reported twice forgotten before it is persisted',
-    file: 'coordination/workers/reported-tasks.ts',
-    find: 'return { slice, position: slice.position(parsed.index) };',
-    put: 'return slice.settled.has(slice.position(parsed.index)) ? null : { slice, position: slice.position(parsed.index) };',
+    name: 'a result that is known forgotten before it is persisted',
+    file: 'coordination/workers/worker-commands.ts',
+    find: 'slice.persisted.has(position)',
+    put: 'slice.settled.has(position)',
     detectedBy: { size: 'returns' },
   },
   {
--- a/packages/scheduler/src/coordination/leadership/led-shard.ts
+++ b/packages/scheduler/src/coordination/leadership/led-shard.ts
@@ -3,6 +3,7 @@
 import type { CachedPages } from '../../storage/cached-pages.ts';
 import type { OpenJobs } from '../../storage/open-jobs.ts';
 import type { MachinesRecord, ProgressRecord } from '../../storage/records.ts';
+import { parseTaskName } from '../../protocol/workers.ts';
 import type { EventLoopLag } from '../../transport/event-loop-lag.ts';
 import { unboundedAbortController } from '../../transport/unbounded-abort-controller.ts';
 import { Autoscaler } from '../autoscaling/autoscaler.ts';
@@ -71,6 +72,10 @@
       {
         ...context,
         typeOf: (typeName) => context.catalog.types?.find((type) => type.name === typeName) ?? null,
+        isResultNeeded: (task) => {
+          const parsed = parseTaskName(task);
+          return parsed !== null && openJobs.isUnsettled(parsed.job, parsed.index);
+        },
         laggedSince: (at) => context.eventLoopLag.laggedSince(at),
         takeFencingCall: () => context.workBudget.takeFencingCall(),
         lowPriorityStarts: this.lowPriorityStarts,
--- a/packages/scheduler/src/coordination/shard-context.ts
+++ b/packages/scheduler/src/coordination/shard-context.ts
@@ -49,6 +49,11 @@
 export interface ShardContext extends NodeContext {
   /** The machine type of that name; null while it is unknown. */
   readonly typeOf: (name: string) => MachineType | null;
+  /**
+   * Whether a result of the task is still needed, whichever shard has the task: its job is open, and the
+   * watched records do not have its result.
+   */
+  readonly isResultNeeded: (task: string) => boolean;
   /** A job's slice has all its results. True if this completes the job: then only its end is recorded. */
   readonly onSliceDone: (job: string) => boolean;
   /**
--- a/packages/scheduler/src/coordination/shard-leader.ts
+++ b/packages/scheduler/src/coordination/shard-leader.ts
@@ -82,7 +82,7 @@
     this.failures = new FailureAttribution(context.failingJobs, context.log);
     this.attempts = this.createAttempts();
     this.scheduler = this.createScheduler();
-    const commands = new WorkerCommands(context.clock, this.leadership);
+    const commands = new WorkerCommands(context, this.leadership);
     const heartbeats = this.createHeartbeatHandler(commands);
     this.heartbeats = heartbeats;
     this.sender = new CommandSender(context, this, { commands, replies: heartbeats });
--- a/packages/scheduler/src/coordination/workers/worker-commands.ts
+++ b/packages/scheduler/src/coordination/workers/worker-commands.ts
@@ -1,9 +1,9 @@
 /** Chooses the commands for a machine from the state of its attempts. */
 import { FORGET_BATCH, FORGET_DELAY_MS } from '../../constants.ts';
-import type { Attempt } from '../../storage/attempt.ts';
+import type { Attempt, EndedAttempt } from '../../storage/attempt.ts';
 import type { Machine } from '../../storage/machine.ts';
 import type { Command } from '../../protocol/workers.ts';
-import type { Clock } from '../../transport/clock.ts';
+import type { ShardContext } from '../shard-context.ts';
 import type { ShardLeadership } from '../shard-leadership.ts';
 
 /** How commands travel: in the reply to a heartbeat, or by a call to the machine. */
@@ -19,7 +19,7 @@
 /** Chooses the commands for the machines of a shard, and keeps track of the launches among them. */
 export class WorkerCommands {
   constructor(
-    private readonly clock: Clock,
+    private readonly context: Pick<ShardContext, 'clock' | 'isResultNeeded'>,
     private readonly leadership: ShardLeadership,
   ) {}
 
@@ -79,17 +79,26 @@
    * `FORGET_DELAY_MS` ago.
    */
   private forgetCommands(machine: Machine, hasOtherCommands: boolean): Command[] {
-    const overdueBefore = this.clock.now() - FORGET_DELAY_MS;
+    const overdueBefore = this.context.clock.now() - FORGET_DELAY_MS;
     let due = hasOtherCommands || machine.draining || machine.endedAttempts.size > FORGET_BATCH;
     const commands: Command[] = [];
     for (const [key, ended] of machine.endedAttempts) {
       if (machine.launchesInDoubt.has(key)) continue;
-      const { slice, position } = ended;
-      if (slice && !slice.cancelled && !slice.persisted.has(position)) continue;
+      if (!this.mayForget(ended)) continue;
       commands.push({ op: 'forget', task: ended.task, attempt: ended.number });
       // A task that ended without a result may soon be started again, possibly on this machine.
       if (ended.reason !== 'done' || ended.endReportedAt <= overdueBefore) due = true;
     }
     return due ? commands : [];
   }
+
+  /**
+   * Whether the worker may forget the attempt: it has no result, or the result is recorded, or its job is
+   * over. The task may have migrated to another shard since, whose leader then records its result.
+   */
+  private mayForget({ task, reason, slice, position }: EndedAttempt): boolean {
+    if (reason !== 'done') return true;
+    const isOwn = slice !== null && !slice.cancelled && position < slice.count;
+    return isOwn ? slice.persisted.has(position) : !this.context.isResultNeeded(task);
+  }
 }
--- a/packages/scheduler/src/storage/attempt.ts
+++ b/packages/scheduler/src/storage/attempt.ts
@@ -48,7 +48,10 @@
   /** See `Attempt.number`. */
   readonly number: ExactInteger;
   readonly reason: EndReason;
-  /** The slice whose record must contain the result before the worker may forget it; null if none must. */
+  /**
+   * The slice whose record must contain the result before the worker may forget it; null without a result, and
+   * for a task that was in no slice of the shard.
+   */
   readonly slice: Slice | null;
   /** Position of the task in the slice; 0 without one. */
   readonly position: number;
--- a/packages/scheduler/src/storage/open-jobs.ts
+++ b/packages/scheduler/src/storage/open-jobs.ts
@@ -142,6 +142,17 @@
     );
   }
 
+  /** Whether the job is open, and its task is in a slice whose record does not have the task's result. */
+  isUnsettled(id: JobId, index: number): boolean {
+    const slices = this.jobs.get(id)?.record.slices ?? [];
+    return slices.some(({ shard, from, count }, sliceIndex) => {
+      const position = index - from;
+      if (position < 0 || position >= count) return false;
+      const recorded = this.settledTasks.get(sliceName(shard, id, sliceIndex));
+      return !recorded || !new TaskSet(count, recorded.encoded).has(position);
+    });
+  }
+
   /** How many of the slice's `count` tasks are settled in the records. */
   private settledCount(name: string, count: number): number {
     const recorded = this.settledTasks.get(name);
--- a/packages/scheduler/test/migration-outcomes.test.ts
+++ b/packages/scheduler/test/migration-outcomes.test.ts
@@ -40,6 +40,8 @@
   readonly slice: Slice;
   /** The recorded progress of the slice, as an encoded `TaskSet`. */
   recorded = '';
+  /** Whether the result is needed by another shard, according to the records. */
+  isResultNeeded = true;
   private sequence = 0;
   private agentEpoch = 1;
 
@@ -78,6 +80,7 @@
       hasLeaderLease: () => false,
       leaderLeaseMs: 0,
       onSliceDone: () => false,
+      isResultNeeded: () => this.isResultNeeded,
       laggedSince: () => false,
     } as unknown as ShardContext;
   }
@@ -225,6 +228,23 @@
   }
 });
 
+// A worker that forgets a result before it is recorded loses it, if its task's new shard does not have it.
+describe('the result of a task that has migrated', () => {
+  for (const [what, count] of Object.entries({ 'its last tasks': STAYING, 'all its tasks': 0 })) {
+    for (const arrives of ['before', 'after'] as const) {
+      it(`and arrived ${arrives} ${what} had migrated is kept by the worker until it is recorded`, async () => {
+        const migrating = new MigratingShard();
+        if (arrives === 'before') migrating.heartbeat([reportedTasks.done]);
+        migrating.showRecord(count);
+        assert.deepEqual(await migrating.settleDown([reportedTasks.done]), []);
+        assert.deepEqual(await migrating.settleDown([reportedTasks.done]), []);
+        migrating.isResultNeeded = false;
+        assert.deepEqual(migrating.heartbeat([reportedTasks.done]), [{ op: 'forget', task, attempt: 1 }]);
+      });
+    }
+  }
+});
+
 // A leader that ends in the middle of a migration hands over nothing about tasks that another shard may have.
 describe('the handover of a leader', () => {
   for (const result of [false, true]) {
--- a/packages/scheduler/test/open-jobs.test.ts
+++ b/packages/scheduler/test/open-jobs.test.ts
@@ -37,6 +37,9 @@
       assert.ok(job);
       assert.deepEqual(openJobs.unsettledBySlice(job), [1, 2]);
       assert.equal(job.unsettledTasks, 3);
+      const unsettled = [0, 1, 2, 3, 4, 5, 6].filter((index) => openJobs.isUnsettled('j-1', index));
+      assert.deepEqual(unsettled, [1, 4, 5]);
+      assert.equal(openJobs.isUnsettled('j-2', 0), false, 'a job that is not open');
       openJobs.setProgress('live/progress/b/0', { settled: { [sliceName('b', 'j-1', 1)]: 'Aw==' } }, 0);
       assert.deepEqual([...openJobs.complete], [], 'task 1 has no result');
     });
