End the backoff of a task whose result arrives, so that it does not start again

What callers could see: a task that is done starts once more, or, by reading, its result is lost: the task became pending after its backoff, and a pending task at the end of its slice may migrate, result and all.

The position stayed in backingOff, and was named as not running in a handover, though settled.

Change: settle ends the backoff as place does.

Evidence: on the commit before, two tests of slice.test.ts fail: the task is settled and backing off at once, and afterwards pending and migratable.

--- a/packages/scheduler/src/storage/slice.ts
+++ b/packages/scheduler/src/storage/slice.ts
@@ -162,8 +162,7 @@
   place(position: number, attempt: string): void {
     this.unreconciled.delete(position);
     removeLast(this.pending, position);
-    const backoff = this.backingOff.findIndex((entry) => entry.position === position);
-    if (backoff >= 0) this.backingOff.splice(backoff, 1);
+    this.removeBackoff(position);
     this.placed.set(position, attempt);
   }
 
@@ -190,11 +189,17 @@
     }
     this.unreconciled.delete(position);
     removeLast(this.pending, position);
+    this.removeBackoff(position);
     this.placed.delete(position);
     this.settled.add(position);
     return true;
   }
 
+  private removeBackoff(position: number): void {
+    const backoff = this.backingOff.findIndex((entry) => entry.position === position);
+    if (backoff >= 0) this.backingOff.splice(backoff, 1);
+  }
+
   /**
    * No unreconciled machine can run a task of this slice any more. Tasks found on no machine therefore run
    * nowhere and are pending.
--- a/packages/scheduler/test/slice.test.ts
+++ b/packages/scheduler/test/slice.test.ts
@@ -6,6 +6,8 @@
 const TASKS = 6;
 const MIGRATING = 2;
 const LAST = TASKS - 1;
+/** Time of the clock, in milliseconds. */
+const BACKOFF_UNTIL = 1000;
 
 const newSlice = (unreconciled = false): Slice =>
   new Slice(
@@ -47,6 +49,12 @@
     slice.place(LAST, 'attempt');
     return slice;
   },
+  'backing off': () => {
+    const slice = newSlice();
+    slice.place(LAST, 'attempt');
+    slice.unplace(LAST, 'attempt', BACKOFF_UNTIL);
+    return slice;
+  },
   settled: () => {
     const slice = newSlice();
     slice.settle(LAST);
@@ -71,6 +79,15 @@
     });
   }
 
+  // Its result, recorded or not, was dropped with the end of the slice if the task then migrated.
+  it('with a result that arrives during its backoff neither starts nor migrates after it', () => {
+    const slice = slicesByState['backing off']?.() ?? newSlice();
+    slice.settle(LAST);
+    slice.endBackoffs(BACKOFF_UNTIL);
+    assertOneStateEach(slice);
+    assert.deepEqual([slice.pending.includes(LAST), slice.migratable], [false, 0]);
+  });
+
   it('with a result is settled once its migration was refused, and the others are pending', () => {
     const slice = newSlice();
     slice.beginMigration(MIGRATING);
