--- a/packages/scheduler/src/coordination/scheduling/migration-targets.ts
+++ b/packages/scheduler/src/coordination/scheduling/migration-targets.ts
@@ -30,6 +30,18 @@
  */
 type CapacityKind = 'idle' | 'free' | 'schedulable';
 
+/** What the choice of a migration's target needs of its node. */
+export interface MigrationTargetContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly shardLoads: ShardLoads;
+  readonly shardMap: ShardMap;
+  /** The cloud's machine types; null until they are known. */
+  readonly catalog: () => readonly MachineType[] | null;
+  /** The job as the watch cache has it; null if it is not open. */
+  readonly findJob: (job: string) => KnownJob | null;
+}
+
 /**
  * Chooses the shard to which pending tasks migrate, from the last status of each shard and by the same policy
  * as for new tasks (`ShardLoads.choose`).
@@ -40,18 +52,7 @@
    */
   private readonly lastMigrationAt = new Map<string, number>();
 
-  constructor(
-    private readonly context: {
-      readonly clock: Clock;
-      readonly random: Random;
-      readonly shardLoads: ShardLoads;
-      readonly shardMap: ShardMap;
-      /** The cloud's machine types; null until they are known. */
-      readonly catalog: () => readonly MachineType[] | null;
-      /** The job as the watch cache has it; null if it is not open. */
-      readonly findJob: (job: string) => KnownJob | null;
-    },
-  ) {}
+  constructor(private readonly context: MigrationTargetContext) {}
 
   /** Records that tasks migrate to the shard. The shard is not a target again until its next status. */
   recordMigration(shard: string): void {
--- a/packages/scheduler/src/coordination/scheduling/pending-task-migration.ts
+++ b/packages/scheduler/src/coordination/scheduling/pending-task-migration.ts
@@ -9,16 +9,10 @@
 import type { Slice } from '../../storage/slice.ts';
 import type { KeyValueStore } from '../../storage/key-value-store.ts';
 import type { WatchCache } from '../../storage/watch-cache.ts';
-import type { MachineType } from '../../protocol/cloud.ts';
 import { type Precondition, RequestRejected } from '../../protocol/key-value.ts';
-import type { Clock } from '../../transport/clock.ts';
-import type { Random } from '../../transport/random.ts';
 import type { Log } from '../../transport/background-task.ts';
 import type { ShardLeader } from '../shard-leader.ts';
-import type { ShardMap } from '../leadership/shard-map.ts';
-import type { KnownJob } from './migration-constraints.ts';
-import { type MigrationTarget, MigrationTargets } from './migration-targets.ts';
-import type { ShardLoads } from './shard-loads.ts';
+import { type MigrationTarget, type MigrationTargetContext, MigrationTargets } from './migration-targets.ts';
 
 /** A migration with the contents of its transaction, which a retry sends unchanged. */
 interface Migration {
@@ -32,31 +26,24 @@
 /** The outcome of a migration's transaction; `unknown` if its answer was lost. */
 type MigrationResult = 'committed' | 'refused' | 'unknown';
 
+/** What {@link PendingTaskMigration} needs of its node. */
+interface PendingTaskMigrationContext extends MigrationTargetContext {
+  readonly log: Log;
+  readonly store: KeyValueStore;
+  readonly watchCache: WatchCache;
+  /** Whether the job fails wherever it runs; migrating such a job gains nothing. */
+  readonly isFailing: (job: string) => boolean;
+  /** The shards that this controller leads. */
+  readonly ledShards: () => ShardLeader[];
+}
+
 /** Migrates pending tasks of the shards that this controller leads, one slice at a time. */
 export class PendingTaskMigration {
   /** Migrations whose answer was lost; at most one for each slice. */
   private readonly unresolved = new Map<Slice, Migration>();
   private readonly targets: MigrationTargets;
 
-  constructor(
-    private readonly context: {
-      readonly clock: Clock;
-      readonly random: Random;
-      readonly log: Log;
-      readonly store: KeyValueStore;
-      readonly watchCache: WatchCache;
-      readonly shardLoads: ShardLoads;
-      readonly shardMap: ShardMap;
-      /** The cloud's machine types; null until they are known. */
-      readonly catalog: () => readonly MachineType[] | null;
-      /** The job as the watch cache has it; null if it is not open. */
-      readonly findJob: (job: string) => KnownJob | null;
-      /** Whether the job fails wherever it runs; migrating such a job gains nothing. */
-      readonly isFailing: (job: string) => boolean;
-      /** The shards that this controller leads. */
-      readonly ledShards: () => ShardLeader[];
-    },
-  ) {
+  constructor(private readonly context: PendingTaskMigrationContext) {
     this.targets = new MigrationTargets(context);
   }
 
