Late reports: let them arrive before a refusal too, and require that they do

In the outcome "refused because the job changed" the other controller's change came before the reports, so the tasks were pending again when these arrived: the scenario passed on sources with the faults. The change comes after the reports now, and every scenario requires that the leader accepts all reports before the outcome.

--- a/packages/emulator/test/late-report-scenarios.ts
+++ b/packages/emulator/test/late-report-scenarios.ts
@@ -22,8 +22,9 @@
 const COMPLETED = 4;
 /** A task that stays in its shard and runs longer than all others. */
 const LONGEST = 1;
-/** Milliseconds after the migration's transaction was sent. */
+/** Milliseconds after the migration's transaction was sent; the reports arrive before it is decided. */
 const REPORT_AFTER_MS = 340;
+const CONFLICT_AFTER_MS = 390;
 const APPLIED_AFTER_MS = 400;
 /** Seconds after which a migration that is refused has been refused, and no other one has been sent. */
 const REFUSED_WITHIN_S = 0.8;
@@ -93,14 +94,17 @@
   const reports = lateReports(workers, plan.report);
   if (plan.beforeFencing) cluster.killController(cluster.ownerOf('a')); // the other node leads both shards
   let migrations = 0;
+  let applied = 0;
   cluster.store.transactionFaultFor = (keys, from): TransactionFault | null => {
     if (keys.length !== 1 || keys[0] !== `live/job/${JOB}` || from === cluster.usersHost) return null;
     if (migrations++ > 0) return null;
     const { leaderEndsAfterMs, outcome } = plan;
     const leader = cluster.ownerOf('a');
-    cluster.time.after(REPORT_AFTER_MS, () => void deliver(cluster, leader, reports));
+    cluster.time.after(REPORT_AFTER_MS, () => {
+      void deliver(cluster, leader, reports, () => applied++);
+    });
     cluster.time.after(1000, heal);
-    if (outcome === 'conflict') cluster.time.after(REPORT_AFTER_MS / 2, () => changeRecord(cluster));
+    if (outcome === 'conflict') cluster.time.after(CONFLICT_AFTER_MS, () => changeRecord(cluster));
     if (leaderEndsAfterMs !== undefined) {
       cluster.time.after(leaderEndsAfterMs, () => cluster.killController(leader));
       cluster.time.after(8000, () => cluster.startController(leader, 50));
@@ -112,7 +116,9 @@
   requirePrecondition('nothing has migrated yet', migrations === 0);
   void cluster.users.cancelIfAccepted('j-0');
   await cluster.until('a migration is sent', () => migrations > 0, 60, 10);
-  await cluster.run(REFUSED_WITHIN_S);
+  await cluster.run(CONFLICT_AFTER_MS / 1000);
+  requirePrecondition('the reports have arrived before the outcome', applied === reports.length);
+  await cluster.run(REFUSED_WITHIN_S - CONFLICT_AFTER_MS / 1000);
   requirePrecondition('no task has migrated', plan.migrates || cluster.slicesOf(JOB).length === 1);
   await cluster.run(DECIDED_WITHIN_S);
   const inTarget = cluster.slicesOf(JOB).filter(({ part }) => part === 'b');
@@ -130,9 +136,14 @@
   void cluster.writeRecord(key, cluster.store.read(key));
 }
 
-/** Delivers the reports to the node, one after the other. */
-async function deliver(cluster: ScenarioCluster, node: number, reports: readonly string[]): Promise<void> {
-  for (const body of reports) await cluster.deliverHeartbeat(body, node);
+/** Delivers the reports to the node, one after the other. Calls `onApplied` for each that it accepts. */
+async function deliver(
+  cluster: ScenarioCluster,
+  node: number,
+  reports: readonly string[],
+  onApplied: () => void,
+): Promise<void> {
+  for (const body of reports) if (await cluster.deliverHeartbeat(body, node)) onApplied();
 }
 
 const outcomes: Record<string, Pick<LateReportPlan, 'outcome' | 'migrates' | 'leaderEndsAfterMs'>> = {
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -86,11 +86,12 @@
     return this.network.exchange(this.usersHost, call);
   }
 
-  /** Delivers a copy of a heartbeat to the node. Resolves when it is answered, or not in time. */
-  async deliverHeartbeat(body: string, node: number, from: Host = this.usersHost): Promise<void> {
+  /** Delivers a copy of a heartbeat to the node. True if the node answers it as the shard's leader. */
+  async deliverHeartbeat(body: string, node: number, from: Host = this.usersHost): Promise<boolean> {
     const address = controllerAddress(node);
     const call = { address, method: 'POST' as const, path: '/checkin', body, deadlineMs: 4000 };
-    await this.network.exchange(from, call).catch(() => null);
+    const reply = await this.network.exchange(from, call).catch(() => null);
+    return reply?.status === 200;
   }
 
   /**
