Migration outcomes: a report of an end without a result leaves the task migrating

The table of reports in design.md has this row, and no test did. Reported as failed, at once or after a report of running, a migrating task is neither pending nor backing off.

--- a/packages/scheduler/test/migration-outcomes.test.ts
+++ b/packages/scheduler/test/migration-outcomes.test.ts
@@ -26,11 +26,12 @@
   settled: '',
 };
 
-type Report = 'running' | 'done';
+type Report = 'running' | 'done' | 'failed';
 const task = `j-1/${String(REPORTED)}`;
 const reportedTasks: Record<Report, ReportedTask> = {
   running: { task, attempt: 1, state: 'running', reason: null },
   done: { task, attempt: 1, state: 'ended', reason: 'done' },
+  failed: { task, attempt: 1, state: 'ended', reason: 'error' },
 };
 
 /** A leader of a shard whose slice has pending tasks only, the last of which are migrating. */
@@ -180,7 +181,7 @@
 }
 
 // Guards against `ran_twice` (docs/incidents/tasks-placed-during-a-migration.md).
-describe('a migrating task that is reported as running', () => {
+describe('a migrating task that is reported as running, or as ended without a result', () => {
   const stop: Command = { op: 'stop', task, attempt: 1, graceS: 0 };
 
   it('stays migrating, and its attempt is stopped', () => {
@@ -197,6 +198,16 @@
     assert.ok(migrating.slice.isMigrating(REPORTED));
   });
 
+  it('stays migrating if it has ended without a result, before or after such a report', () => {
+    for (const first of [reportedTasks.failed, reportedTasks.running]) {
+      const migrating = new MigratingShard();
+      migrating.heartbeat([first]);
+      migrating.heartbeat([reportedTasks.failed]);
+      assert.deepEqual([migrating.slice.pending.length, migrating.slice.backingOff.length], [STAYING, 0]);
+      assert.ok(migrating.slice.isMigrating(REPORTED));
+    }
+  });
+
   it('is not pending in this shard once it has migrated and the worker has lost it', () => {
     const migrating = new MigratingShard();
     migrating.heartbeat([reportedTasks.running]);
