Migration targets: doc comments on the shared dependencies

MigrationTargetContext is exported since the two lists of dependencies became one, and four of its members had no comment.

--- a/packages/scheduler/src/coordination/scheduling/migration-targets.ts
+++ b/packages/scheduler/src/coordination/scheduling/migration-targets.ts
@@ -32,9 +32,13 @@
 
 /** What the choice of a migration's target needs of its node. */
 export interface MigrationTargetContext {
+  /** Monotonic time, milliseconds. */
   readonly clock: Clock;
+  /** Draws the shards among which the target is chosen. */
   readonly random: Random;
+  /** The last status of each shard. */
   readonly shardLoads: ShardLoads;
+  /** The names and zones of the shards. */
   readonly shardMap: ShardMap;
   /** The cloud's machine types; null until they are known. */
   readonly catalog: () => readonly MachineType[] | null;
