--- a/packages/scheduler/src/coordination/workers/reported-tasks.ts
+++ b/packages/scheduler/src/coordination/workers/reported-tasks.ts
@@ -54,13 +54,13 @@
    * count, because they are final.
    */
   applyResultsOnly(heartbeat: Heartbeat): void {
-    for (const reported of heartbeat.tasks) this.applyResult(reported, this.findTask(reported.task));
+    for (const { task, reason } of heartbeat.tasks)
+      if (reason === 'done') this.applyResult(this.findTask(task));
   }
 
-  /** Settles the reported task if it has a result. The result counts whichever attempt produced it. */
-  private applyResult({ reason }: ReportedTask, found: TaskInSlice | null): void {
-    if (reason !== 'done' || !found || found.slice.settled.has(found.position)) return;
-    this.attempts.settle(found.slice, found.position);
+  /** Settles the task, which has a result. The result counts whichever attempt produced it. */
+  private applyResult(found: TaskInSlice | null): void {
+    if (found && !found.slice.settled.has(found.position)) this.attempts.settle(found.slice, found.position);
   }
 
   /**
@@ -130,7 +130,7 @@
   private recordEnd(machine: Machine, reported: ReportedTask, reason: EndReason): void {
     const { task, attempt: number } = reported;
     const found = this.findTask(task);
-    this.applyResult(reported, found);
+    if (reason === 'done') this.applyResult(found);
     const { slice, position } = found ?? { slice: null, position: 0 };
     const key = attemptKey(task, number);
     this.attempts.recordEnd(machine, { key, task, number, slice, position }, reason);
