Emulator: copies of executed commands, and the incident as red scenarios (ran_twice)

At production size a task stood on two machines: a copy of a direct launch that had been executed and answered 13.6 s before reached the machine after the attempt had been forgotten. The emulator delivered every direct command once, so no run could show this.

Two kinds of faults: `repeated orders` (a copy of an executed call reaches the same machine 0.2 s to 1.5 worker leases later) and `kept orders` (the copy arrives when a controller is back or a shard has a new leader).

Named scenarios: the task runs elsewhere, is done, has migrated to another shard, or is cancelled for longer than cancel_s when the copy arrives, with the leader lost and with it up.

--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -136,9 +136,11 @@
     this.balancer = new LoadBalancer(time, fork(), this.network, users, addresses);
     this.users = new Users(time, fork(), this.network, users, this.balancer, this.checker, this.workload);
     this.checker.onStateLearned = (id): void => this.users.queryAllNodes(id);
-    // A shard has a new leader: the recorded heartbeats are replayed.
+    // A shard has a new leader, which has fenced no machine yet: recorded heartbeats and commands are replayed.
     this.store.onPut = (key): void => {
-      if (key.startsWith('live/part/')) this.network.replayHeartbeats(addresses);
+      if (!key.startsWith('live/part/')) return;
+      this.network.replayHeartbeats(addresses);
+      this.network.replayCommands();
     };
     this.network.onPartitionChange(() => time.after(1, () => this.notifyConnectedControllers()));
     this.network.onPartitionChange(() => this.updateUsersCutOff());
@@ -211,6 +213,7 @@
           ),
         );
       this.notifyConnectedControllers();
+      this.network.replayCommands();
     });
   }
 
--- a/packages/emulator/src/constants.ts
+++ b/packages/emulator/src/constants.ts
@@ -32,6 +32,17 @@
  * reach the controllers.
  */
 export const HEARTBEAT_REPLAY_MS = 1500;
+/** Milliseconds after which a copy of an executed command arrives, at least. */
+export const COMMAND_COPY_MS = 200;
+/** Number of worker leases after which a copy of an executed command arrives, at most. */
+export const COMMAND_COPY_LEASES = 1.5;
+/**
+ * Milliseconds from the start of a controller, or from the key-value store's record of a new leader, within
+ * which recorded copies of executed commands reach the workers.
+ */
+export const COMMAND_REPLAY_MS = 1500;
+/** Executed commands that are recorded at a time; beyond it the oldest are dropped. */
+export const RECORDED_COMMANDS_MAX = 500;
 
 // --- clocks ---
 /** Ratio by which the rate of a steady clock may be wrong (PROTOCOL, first page). */
--- a/packages/emulator/src/fault-generator.ts
+++ b/packages/emulator/src/fault-generator.ts
@@ -37,6 +37,8 @@
   'cancel at end',
   'close looks',
   'odd requests',
+  'repeated orders',
+  'kept orders',
 ]);
 
 /** Faults of the kinds that the size includes. */
@@ -78,7 +80,7 @@
     ...storeAndCloudKinds(node),
     ...partitionKinds(node, size),
     ...machineKinds(),
-    ...dataLossAndRestartKinds(node),
+    ...dataLossAndRestartKinds(node, size.backMs),
     ...messageKinds(),
     ...userKinds(),
     kind(3, 'slow state', { mostMs: fc.constantFrom(800, 3000, 6000) }),
@@ -136,14 +138,14 @@
   ];
 }
 
-function dataLossAndRestartKinds(node: fc.Arbitrary<number>): WeightedKind[] {
+function dataLossAndRestartKinds(node: fc.Arbitrary<number>, backMs: ScenarioSize['backMs']): WeightedKind[] {
   return [
     // PROTOCOL guarantees that the store loses no data: only the size `losses` includes this kind.
     kind(14, 'lose', { loss: losses() }),
     kind(14, 'back', {
       node: fc.option(node, { freq: 3 }),
       times: integer(1, 4),
-      backMs: fc.oneof(integer(50, 900), integer(900, 10_000)),
+      backMs: backMs ? integer(...backMs) : fc.oneof(integer(50, 900), integer(900, 10_000)),
     }),
   ];
 }
@@ -159,6 +161,8 @@
     kind(4, 'mute', { share: fc.constantFrom(0.3, 0.6, 1), zone }),
     kind(4, 'lost answers', { share: fc.constantFrom(0.1, 0.4, 0.8) }),
     kind(3, 'kept reports', { share: fc.constantFrom(0.1, 0.5) }),
+    kind(14, 'repeated orders', { share: fc.constantFrom(0.1, 0.5) }),
+    kind(14, 'kept orders', { share: fc.constantFrom(0.1, 0.5) }),
   ];
 }
 
--- a/packages/emulator/src/fault-handlers.ts
+++ b/packages/emulator/src/fault-handlers.ts
@@ -4,6 +4,7 @@
 import {
   CANCEL_HANGS_MAX,
   CANCEL_TOGETHER_MS,
+  COMMAND_COPY_LEASES,
   CRASH_GAP_MS,
   LATE_HEARTBEAT_LEASES,
   LONG_TASK_S,
@@ -133,6 +134,14 @@
     network.delayedCommandShare = share;
     return () => (network.delayedCommandShare = 0);
   },
+  'repeated orders': ({ share }, { cluster: { network, deployment } }) => {
+    network.commandCopies = { share, withinMs: deployment.leaseS * 1000 * COMMAND_COPY_LEASES };
+    return () => (network.commandCopies = { share: 0, withinMs: 0 });
+  },
+  'kept orders': ({ share }, { cluster: { network } }) => {
+    network.recordedCommandShare = share;
+    return () => (network.recordedCommandShare = 0);
+  },
   deaf: (fault, { cluster, targets }) => {
     const deaf = targets.workerHosts(fault.share, fault.zone);
     return cluster.network.dropOneWay((from, to) => from.kind === 'node' && deaf.has(to));
--- a/packages/emulator/src/network.ts
+++ b/packages/emulator/src/network.ts
@@ -14,12 +14,15 @@
   CONNECTION_LIFE_MS,
   CROSS_ZONE_MS,
   PARTITION_QUEUE_MAX,
+  COMMAND_COPY_MS,
   COMMAND_DELAY_MS,
+  COMMAND_REPLAY_MS,
   IDLE_CONNECTION_MS,
   PACKET_JITTER,
   HEARTBEAT_REPLAY_MS,
   LATE_HEARTBEAT_MS,
   PACKET_LOSS,
+  RECORDED_COMMANDS_MAX,
   DUPLICATE_DELAY_MS,
   RETRANSMIT_MS,
   SAME_ZONE_MS,
@@ -123,8 +126,7 @@
   private readonly partitionListeners: (() => void)[] = [];
   /**
    * Share of delivered messages that are delivered a second time, to the host that serves at the address by
-   * then. Commands to workers are excluded: PROTOCOL, "Workers", says which of them may be repeated, and the
-   * network delivers each of them once.
+   * then. Commands to workers are excluded: see `commandCopies` and `recordedCommandShare`.
    */
   duplicateShare = 0;
   /**
@@ -136,6 +138,15 @@
   recordedHeartbeatShare = 0;
   /** The newest recorded heartbeat of each machine, by the machine's name. */
   private readonly recordedHeartbeats = new Map<string, Request>();
+  /**
+   * Share of executed calls with commands of which a copy arrives at the same worker, at least
+   * `COMMAND_COPY_MS` and less than `withinMs` milliseconds later.
+   */
+  commandCopies = { share: 0, withinMs: 0 };
+  /** Share of executed calls with commands that are recorded, to be replayed by `replayCommands`. */
+  recordedCommandShare = 0;
+  /** The recorded calls, the oldest first; at most `RECORDED_COMMANDS_MAX`. */
+  private readonly recordedCommands: { readonly address: string; readonly request: Request }[] = [];
   /**
    * Share of commands and answers to workers that are delayed by `COMMAND_DELAY_MS`, each independently of
    * the others.
@@ -227,6 +238,13 @@
     this.recordedHeartbeats.clear();
   }
 
+  /** Delivers each recorded command to its worker within `COMMAND_REPLAY_MS`, and clears the record. */
+  replayCommands(): void {
+    for (const { address, request } of this.recordedCommands.splice(0)) {
+      this.time.after(this.random.below(COMMAND_REPLAY_MS), () => this.deliverDuplicate(address, request));
+    }
+  }
+
   /** The partition between two hosts, or null. If there are several, the most severe one. */
   partitionBetween(a: Host, b: Host): Partition | null {
     const bySeverity: PartitionMode[] = ['refuse', 'hold', 'reset', 'drop'];
@@ -384,6 +402,8 @@
     const request = { method: call.method, path: call.path, body: call.body ?? '', from };
     const reply = serve(request);
     if (call.path === '/checkin') this.copyHeartbeat(call.address, request);
+    if (call.path === '/commands' && !(reply instanceof Promise) && reply?.status === 200)
+      this.copyCommands(call.address, request);
     if (host.kind !== 'worker') this.maybeDuplicate(() => this.deliverDuplicate(call.address, request));
     if (reply instanceof Promise) void reply.then((late) => host.clock.runWhenUnfrozen(() => answer(late)));
     else answer(reply);
@@ -401,6 +421,17 @@
     if (this.drawChance(this.recordedHeartbeatShare)) this.recordedHeartbeats.set(request.from.name, request);
   }
 
+  /** Schedules a late copy of an executed call with commands, or records it, as the active faults require. */
+  private copyCommands(address: string, request: Request): void {
+    if (this.drawChance(this.commandCopies.share)) {
+      const delayMs = this.drawBetween([COMMAND_COPY_MS, this.commandCopies.withinMs]);
+      this.time.after(delayMs, () => this.deliverDuplicate(address, request));
+    }
+    if (!this.drawChance(this.recordedCommandShare)) return;
+    this.recordedCommands.push({ address, request });
+    if (this.recordedCommands.length > RECORDED_COMMANDS_MAX) this.recordedCommands.shift();
+  }
+
   /** True with the probability `share`; draws nothing for a share of 0. */
   private drawChance(share: number): boolean {
     return share > 0 && this.random.below(1000) < share * 1000;
--- a/packages/emulator/src/scenario-file.ts
+++ b/packages/emulator/src/scenario-file.ts
@@ -39,6 +39,8 @@
   z.object({ ...when, kind: z.literal('late reports'), share }),
   z.object({ ...when, kind: z.literal('deaf'), share, zone: z.nullable(index) }),
   z.object({ ...when, kind: z.literal('held orders'), share }),
+  z.object({ ...when, kind: z.literal('repeated orders'), share }),
+  z.object({ ...when, kind: z.literal('kept orders'), share }),
   z.object({ ...when, kind: z.literal('mute'), share, zone: z.nullable(index) }),
   z.object({ ...when, kind: z.literal('lost answers'), share }),
   z.object({ ...when, kind: z.literal('kept reports'), share }),
--- a/packages/emulator/src/scenario-sizes.ts
+++ b/packages/emulator/src/scenario-sizes.ts
@@ -22,6 +22,8 @@
   only?: Fault['kind'][];
   /** Range of the seconds that a job's tasks run; without it, a mix of short and long tasks. */
   runS?: [number, number];
+  /** Range of the milliseconds until a controller of the fault `back` is back; by default 50 to 10,000. */
+  backMs?: [number, number];
   /** Combined faults: pairs and triples, of which the later faults begin at a step that the first causes. */
   combinedFaults?: [number, number];
 }
@@ -37,9 +39,20 @@
  *   messages follow.
  * - `meetings`: combinations of two or three faults, long and short tasks, and cancellations around the
  *   faults.
+ * - `copies`: copies of direct commands that were executed and answered reach their machines again, while
+ *   controllers restart within a second and users cancel jobs.
  */
 export const scenarioSizes: Record<
-  'small' | 'storm' | 'silence' | 'strangers' | 'losses' | 'returns' | 'meetings' | 'middle' | 'fleet',
+  | 'small'
+  | 'storm'
+  | 'silence'
+  | 'strangers'
+  | 'losses'
+  | 'returns'
+  | 'meetings'
+  | 'copies'
+  | 'middle'
+  | 'fleet',
   ScenarioSize
 > = {
   small: {
@@ -162,6 +175,33 @@
     ],
     combinedFaults: [1, 3],
   },
+  copies: {
+    zones: [1, 3],
+    nodes: [2, 5],
+    machines: [2, 5],
+    jobs: [6, 14],
+    tasks: 24,
+    faults: [4, 10],
+    spanS: 60,
+    only: [
+      'repeated orders',
+      'kept orders',
+      'back',
+      'end',
+      'freeze',
+      'outage',
+      'refused',
+      'cut',
+      'hang',
+      'sick',
+      'taken',
+      'held orders',
+      'late reports',
+      'mute',
+      'cancel now',
+    ],
+    backMs: [50, 900],
+  },
   middle: {
     zones: [1, 3],
     nodes: [2, 6],
--- a/packages/emulator/src/scenario.ts
+++ b/packages/emulator/src/scenario.ts
@@ -69,6 +69,13 @@
   | { kind: 'odd requests' }
   /** That share of commands and answers to workers is delayed, each independently of the others. */
   | { kind: 'held orders'; share: number }
+  /** A copy of that share of executed direct commands arrives up to `COMMAND_COPY_LEASES` worker leases later. */
+  | { kind: 'repeated orders'; share: number }
+  /**
+   * A copy of that share of executed direct commands is recorded and replayed to its machine when a controller
+   * is back or a shard has a new leader.
+   */
+  | { kind: 'kept orders'; share: number }
   /** Answers of the key-value store take up to `mostMs` longer. */
   | { kind: 'slow state'; mostMs: number }
   /** The cloud answers every call with 503. */
--- a/packages/emulator/test/fault-injection-and-checkers.test.ts
+++ b/packages/emulator/test/fault-injection-and-checkers.test.ts
@@ -76,6 +76,51 @@
     assert.ok(replays >= 3);
   });
 
+  it('repeated orders: a copy of an executed direct command, and of no other call, reaches the same machine', async () => {
+    const world = await startWithFaults([{ kind: 'repeated orders', share: 1, atS: 0, forS: 1 }]);
+    const { network, usersHost } = world;
+    const seen: string[] = [];
+    const machine = { ...usersHost, name: 'other', kind: 'worker' as const };
+    network.serve('other:1', machine, ({ body, path }) => {
+      seen.push(`${path} ${body}`);
+      return { status: body === 'refused' ? 409 : 200, body: '{}' };
+    });
+    const send = (path: string, body: string): void =>
+      void network.exchange(usersHost, { address: 'other:1', method: 'POST', path, body, deadlineMs: 1000 });
+    send('/commands', 'executed');
+    send('/commands', 'refused');
+    send('/inspect', '');
+    await world.run(0.15);
+    assert.equal(seen.length, 3);
+    await world.run(24);
+    assert.deepEqual(seen.slice(3), ['/commands executed'], 'within one and a half worker leases');
+    assert.equal(network.commandCopies.share, 0, 'the fault has ended');
+  });
+
+  it('kept orders: copies of executed commands reach their machines when a controller is back or a shard has a new leader', async () => {
+    const world = await startWithFaults([{ kind: 'kept orders', share: 1, atS: 0, forS: 30 }]);
+    const { network, usersHost } = world;
+    let received = 0;
+    network.serve('other:1', { ...usersHost, name: 'other', kind: 'worker' as const }, () => {
+      received++;
+      return { status: 200, body: '{}' };
+    });
+    const send = (): void =>
+      void network.exchange(usersHost, {
+        address: 'other:1',
+        method: 'POST',
+        path: '/commands',
+        deadlineMs: 1000,
+      });
+    send();
+    await world.run(10);
+    assert.equal(received, 1, 'no copy yet');
+    world.killController(0);
+    world.time.after(300, () => world.startController(0, 50));
+    await world.run(2);
+    assert.equal(received, 2);
+  });
+
   it('cancel now: many jobs are cancelled at once while some of their machines hang', async () => {
     const world = await startWithFaults([{ kind: 'cancel now', count: 2, hangS: 30, atS: 12, forS: 0 }]);
     for (const id of ['j-1', 'j-2', 'j-3']) world.submit({ id, tasks: 4, cores: 1 }, 300);
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -1,5 +1,6 @@
 import type { Violation } from '../src/invariant-checker.ts';
 import { readCommands } from '../src/protocol/wire.ts';
+import { commandCopyScenarios } from './command-copy-scenarios.ts';
 import { idleWaitScenarios } from './idle-wait-scenarios.ts';
 import { lateReportScenarios } from './late-report-scenarios.ts';
 import { machineFaultScenarios } from './machine-fault-scenarios.ts';
@@ -376,4 +377,5 @@
   ...userRequestScenarios,
   ...storeOutageScenarios,
   ...lateReportScenarios,
+  ...commandCopyScenarios,
 };
