--- a/packages/emulator/src/worker.ts
+++ b/packages/emulator/src/worker.ts
@@ -112,6 +112,9 @@
   /** Number of agent epochs that ended because the lease had expired while the machine had tasks. */
   lostEpochs = 0;
 
+  /** What the worker has sent and refused; read by tests. */
+  readonly counts = { heartbeats: 0, droppedReplies: 0, refusedCalls: 0, refusedLaunches: 0 };
+
   constructor(
     readonly machine: CloudMachine,
     readonly host: Host & { clock: HostClock },
@@ -227,6 +230,7 @@
     if (this.inFlight || !node || host.status !== 'up') return;
     this.inFlight = true;
     this.sentAt = clock.now();
+    this.counts.heartbeats++;
     const { agentEpoch, sentAt } = this;
     const sentStatus = this.statusFingerprint();
     let reply: Reply | null = null;
@@ -278,7 +282,10 @@
    */
   private onAnswer(body: string, agentEpoch: number, sentAt: number): void {
     const answer = readCommands(body, false);
-    if (!answer || agentEpoch !== this.agentEpoch || answer.fencingToken < this.fencingToken) return;
+    if (!answer || agentEpoch !== this.agentEpoch || answer.fencingToken < this.fencingToken) {
+      this.counts.droppedReplies++;
+      return;
+    }
     this.acceptToken(answer.fencingToken);
     this.renewedAt = sentAt;
     this.armLeaseTimer();
@@ -306,8 +313,11 @@
     if (request.path !== '/commands' || request.method !== 'POST') return { status: 404, body: '{}' };
     const command = readCommands(request.body, true);
     if (!command) return { status: 400, body: '{}' };
-    if (command.fencingToken < this.fencingToken || command.agentEpoch !== this.agentEpoch)
+    if (command.fencingToken < this.fencingToken || command.agentEpoch !== this.agentEpoch) {
+      this.counts.refusedCalls++;
+      this.counts.refusedLaunches += command.commands.filter(({ op }) => op === 'launch').length;
       return { status: 409, body: this.encodeNextHeartbeat() };
+    }
     this.acceptToken(command.fencingToken);
     this.carryOutCommands(command.commands);
     return { status: 200, body: this.encodeNextHeartbeat() };
--- a/packages/emulator/test/explorer-digests.test.ts
+++ b/packages/emulator/test/explorer-digests.test.ts
@@ -13,28 +13,28 @@
     'small',
     [
       '0e1c373ee032e8f1f35e0c06dff46ca029054f47c25905e10b319ed8a0b1c83e',
-      '2ba43d94825c08589b4d74c7312bf6d778b082c98b2b285998a91aa76eb6d1db',
+      '76df14ac671da357132d56e043815536af4390322d5a677e6fc957c83079e94a',
     ],
   ],
   [
     'storm',
     [
-      'b893ae4e9d50efc51fa4d6bbd120561bb0810bf38ab8276dc37220bc6841df2f',
-      '33cfa4289b7ab864821b67c790ed6af92ac2e50f061c005bbe41e65ffc61240e',
+      '00b028417c36d2b6eb799869eafa7fc3fe95edc7b6b0927a290e546bb8181e55',
+      '5d8b2cc17c4c8ed6ff3a2299ec1d9bb3b239ef814234f60b01197b06a15f12cd',
     ],
   ],
   [
     'strangers',
     [
-      'a5fe00189654e8acd07eabb6205b9be2ac278dfa9130d787aa163e5a93e9885e',
-      '71c34af7ce1232ed8ec941cb06e4ddd688064d4d28841debdd9ba3c9823d6804',
+      'b778fae69bab98e4643b6c53bf65e53d3683b62a0746ef1ccda144b1779954dd',
+      '089c0fd14b5f0c54efaf765a5685ccd5578ac30626a4042797eaebba24b8cde8',
     ],
   ],
   [
     'meetings',
     [
-      'bd163765ee4cacb937823368659a500f07cf95e738fc2085219206e21dc7091a',
-      '14e504d6d1dd542e116f114a19a84ee699e9ecf4017eaa2f4667f7e0945ead91',
+      'c2e23c7cee2ff99aee1ec0cdb08304e383229b0fa2cd9f32c182146335d7bb4d',
+      '0ea9a7ca0bb00d71512ad2f57415e59328203d33f20ccf9b913b39adb39428f9',
     ],
   ],
 ];
@@ -56,7 +56,7 @@
     );
     assert.equal(
       runDigest(digests.flatMap(([, each]) => each)),
-      'bd9a37942165fdba4eca6fbd28371529ea575d3e3cde873aeac72bd2bb07e764',
+      '1c25e222f927ee5a8f102ddc5236613e3ded01ef2f9ea435d89e7fc43932da46',
     );
   });
 });
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -55,10 +55,10 @@
   await cluster.run(29);
   // Workers receive nothing more once they have received one response of the new leader to a heartbeat.
   cluster.network.commandDelayMs = () => 1e9;
-  const token = (cluster.store.read(`live/part/${shard}`) as { token: number }).token;
+  const firstToken = cluster.firstTokenOf(shard);
   cluster.network.dropOneWay((a, b) => {
     const worker = b.kind === 'worker' ? cluster.workers.get(b.name) : undefined;
-    return a.kind === 'node' && worker !== undefined && worker.fencingToken >= token;
+    return a.kind === 'node' && worker !== undefined && worker.fencingToken >= firstToken;
   });
   healWorkerPartition();
   await cluster.run(60);
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -16,9 +16,9 @@
 export const mutants: Mutant[] = [
   {
     name: 'fencing token not incremented',
-    file: 'coordination/leadership/leadership-writer.ts',
-    find: 'fencingToken: (before?.fencingToken ?? 0) + 1',
-    put: 'fencingToken: before?.fencingToken ?? 1',
+    file: 'storage/fencing-tokens.ts',
+    find: 'const last = record?.fencingToken ?? 0;',
+    put: 'const last = 0;',
     detectedBy: { size: 'strangers' },
   },
   {
@@ -38,7 +38,7 @@
   {
     name: 'a forget command sent before the result is persisted',
     file: 'coordination/workers/worker-commands.ts',
-    find: 'if (!this.mayForget(ended)) continue;',
+    find: '.filter((each) => this.mayForget(each))',
     put: '',
     detectedBy: { size: 'strangers' },
   },
@@ -199,7 +199,7 @@
   {
     name: 'a heartbeat with a stale fencing token accepted',
     file: 'coordination/workers/heartbeat-handler.ts',
-    find: 'if (heartbeat.fencingToken < this.shard.fencingToken) {',
+    find: 'if (tokens.isEarlier(heartbeat.fencingToken)) {',
     put: 'if (heartbeat.fencingToken < 0) {',
     detectedBy: { scenario: 'old heartbeats reach every controller during a takeover, seed 3' },
   },
@@ -238,6 +238,13 @@
     put: '[key].map',
     detectedBy: { size: 'returns' },
   },
+  {
+    name: 'an attempt forgotten under the token of the call that launched it',
+    file: 'coordination/workers/worker-commands.ts',
+    find: 'if (forgetCommands.length > 0 && this.tokens.mayExecuteCopy(machine)) this.tokens.raise(machine);',
+    put: '',
+    detectedBy: { size: 'copies' },
+  },
   {
     name: 'a result that is known forgotten before it is persisted',
     file: 'coordination/workers/worker-commands.ts',
@@ -248,7 +255,7 @@
   {
     name: 'no stop commands in the response to a machine of the former leader',
     file: 'coordination/workers/heartbeat-handler.ts',
-    find: `heartbeat.fencingToken < this.shard.fencingToken
+    find: `tokens.isEarlier(heartbeat.fencingToken)
       ? [...due, ...reportedTasks.stopCommandsFor(heartbeat)]
       : due`,
     put: 'due',
@@ -257,14 +264,14 @@
   {
     name: 'no stop commands in the response to an old heartbeat',
     file: 'coordination/workers/heartbeat-handler.ts',
-    find: 'if (!isNew) return reportedTasks.stopCommandsFor(heartbeat);',
+    find: 'if (!isNew) return [...unlisted, ...reportedTasks.stopCommandsFor(heartbeat)];',
     put: 'if (!isNew) return [];',
     detectedBy: { scenario: 'a response to a stale heartbeat' },
   },
   {
     name: 'a worker lease renewed while a launch command in flight may start a cancelled task',
     file: 'coordination/workers/heartbeat-handler.ts',
-    find: 'if (attempts.mayLaunchCancelledTask(machine)) return null;',
+    find: 'commands.fenceUnansweredLaunches(machine);',
     put: '',
     detectedBy: { scenario: 'a launch command delayed beyond the cancellation' },
   },
@@ -377,7 +384,7 @@
     file: 'coordination/reconciliation/shard-records.ts',
     find: 'const conditions = [this.leadershipPrecondition(), { key: page.key, version }];',
     put: 'const conditions = [this.leadershipPrecondition()];',
-    detectedBy: { scenario: 'writes to live/progress/ applied late' },
+    detectedBy: { scenario: 'writes to live/progress/ applied late, seed 4' },
   },
   {
     name: 'a new leader that ignores the persisted results',
--- a/packages/emulator/test/recovery.test.ts
+++ b/packages/emulator/test/recovery.test.ts
@@ -20,8 +20,11 @@
 const partitionZone = (world: TestCluster, zone: string, mode: 'hold' | 'drop'): (() => void) =>
   world.network.startPartition(mode, (x: Host, y: Host) => x.zone === zone && y.zone !== zone);
 
-const fencingToken = (world: TestCluster, shard: string): number =>
-  (world.store.read(`live/part/${shard}`) as { token: number }).token;
+/** How many leaderships the shard has had. */
+const leaderships = (world: TestCluster, shard: string): number => {
+  const { token, tokens } = world.store.read(`live/part/${shard}`) as { token: number; tokens: number };
+  return token / tokens;
+};
 
 /** The node that leads the shard according to the record in the key-value store. */
 const leaderOf = (world: TestCluster, shard: string): number =>
@@ -34,16 +37,16 @@
     world.submit(zoneBJob, 40);
     await world.run(5);
     const first = leaderOf(world, 'b.0');
-    const before = fencingToken(world, 'b.0');
+    const before = leaderships(world, 'b.0');
     const name = controllerName(first);
     const heal = world.network.startPartition('drop', (x, y) => x.name === name && y.kind === 'worker');
     await world.until('another leader', () => leaderOf(world, 'b.0') !== first, 15);
     await world.run(30);
-    assert.equal(fencingToken(world, 'b.0'), before + 1);
+    assert.equal(leaderships(world, 'b.0'), before + 1);
     heal();
     await world.until('led by its home node again', () => leaderOf(world, 'b.0') === first, 10);
     await world.run(60);
-    assert.equal(fencingToken(world, 'b.0'), before + 2);
+    assert.equal(leaderships(world, 'b.0'), before + 2);
     world.assertAllDone();
   });
 
@@ -56,11 +59,11 @@
     // The zone's own controller is partitioned with it; the next leader of its shards receives no heartbeats.
     const heal = partitionZone(world, 'b', 'drop');
     await world.until('failover', () => shards.every((shard) => leaderOf(world, shard) !== 3), 25);
-    const tokensAfterFailover = shards.map((shard) => fencingToken(world, shard));
+    const leadershipsAfterFailover = shards.map((shard) => leaderships(world, shard));
     await world.run(25);
     assert.deepEqual(
-      shards.map((shard) => fencingToken(world, shard)),
-      tokensAfterFailover,
+      shards.map((shard) => leaderships(world, shard)),
+      leadershipsAfterFailover,
     );
     heal();
     await world.until('tasks run', () => world.checker.runningTasks('j-1').length > 0, 15);
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -123,6 +123,12 @@
     return (this.store.read(`live/part/${shard}`) as { token: number }).token;
   }
 
+  /** The first fencing token of the shard's leadership. */
+  firstTokenOf(shard: string): number {
+    const { token, tokens } = this.store.read(`live/part/${shard}`) as { token: number; tokens: number };
+    return token - tokens + 1;
+  }
+
   ownerOf(shard: string): number {
     return Number((this.store.read(`live/part/${shard}`) as { owner: string }).owner.split('-')[1]);
   }
--- a/packages/emulator/test/restart-scenarios.ts
+++ b/packages/emulator/test/restart-scenarios.ts
@@ -11,8 +11,8 @@
  * Two of every three writes to keys that begin with `kind` are applied late, after newer ones, and never
  * answered. Meanwhile jobs are accepted, run and cancelled.
  */
-async function lateWritesOf(kind: string): Promise<Violation[]> {
-  const cluster = new ScenarioCluster({ ...singleZone, initial: [smallMachines(10)] });
+async function lateWritesOf(kind: string, seed = 1): Promise<Violation[]> {
+  const cluster = new ScenarioCluster({ ...singleZone, initial: [smallMachines(10)] }, undefined, seed);
   let matchingWrites = 0;
   const applyLate = (keys: string[]): TransactionFault | null => {
     if (!keys.some((key) => key.startsWith(kind)) || matchingWrites++ % 3 === 2) return null;
@@ -97,6 +97,12 @@
       (kind): [string, ScriptedScenario] => [`writes to ${kind} applied late`, () => lateWritesOf(kind)],
     ),
   ),
+  ...Object.fromEntries(
+    [2, 4].map((seed): [string, ScriptedScenario] => [
+      `writes to live/progress/ applied late, seed ${String(seed)}`,
+      () => lateWritesOf('live/progress/', seed),
+    ]),
+  ),
   'a node that restarts within a fraction of a second': restartBeforeDetection,
   'results recorded across several leader changes': resultsAcrossLeaderChanges,
 };
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -29,6 +29,12 @@
 /** Attempt numbers that belong to one fencing token; the numbers of the next token follow. */
 export const ATTEMPTS_PER_TOKEN = 2 ** 20;
 
+// --- fencing tokens ---
+/** Fencing tokens that belong to one leadership of a shard; those of the next leadership follow. */
+export const TOKENS_PER_LEADERSHIP = 2 ** 16;
+/** The highest fencing token whose attempt numbers are all safe integers. */
+export const MAX_FENCING_TOKEN = 2 ** 33 - 1;
+
 // --- key-value store ---
 /** Milliseconds after which a call without an answer has timed out; answers normally take under 10 ms. */
 export const STORE_DEADLINE_MS = 1000;
@@ -148,6 +154,8 @@
  * worker reports each such change. Sent alone, the command would cause an extra heartbeat for every task.
  */
 export const FORGET_DELAY_MS = 20_000;
+/** Milliseconds after which the reply to a heartbeat has normally reached its worker. */
+export const REPLY_DELIVERY_MS = 500;
 /** Ended tasks of a machine above which they are forgotten at once; each lengthens every heartbeat. */
 export const FORGET_BATCH = 12;
 /**
--- a/packages/scheduler/src/coordination/leadership/failover.ts
+++ b/packages/scheduler/src/coordination/leadership/failover.ts
@@ -13,7 +13,7 @@
 import type { Clock } from '../../transport/clock.ts';
 import { type Log, runPeriodically } from '../../transport/background-task.ts';
 import type { LeaderCandidates } from './leader-candidates.ts';
-import type { LeadershipWriter } from './leadership-writer.ts';
+import type { LeadershipChange, LeadershipWriter } from './leadership-writer.ts';
 import type { LedShards } from './led-shards.ts';
 import type { Membership, NodeIdentity } from './membership.ts';
 import type { NodeRegistration } from './node-registration.ts';
@@ -59,7 +59,7 @@
       const record = membership.leaderOf(shard);
       if (record && membership.isLeaderAlive(record)) {
         this.leaderlessSince.delete(shard);
-        if (membership.isSelf(record)) await this.handOver(shard, record, now);
+        if (membership.isSelf(record)) await this.endLeadershipIfDue(shard, record, now);
         continue;
       }
       const since = this.leaderlessSince.get(shard) ?? now;
@@ -99,28 +99,43 @@
     });
   }
 
+  /** Hands the shard over if another node should lead it, and otherwise renews its fencing tokens if need be. */
+  private async endLeadershipIfDue(shard: string, before: LeadershipRecord, now: number): Promise<void> {
+    const { ledShards, leadershipWriter, self } = this.context;
+    const handover = this.handoverDue(shard, now);
+    if (handover) {
+      const { successor, reason } = handover;
+      await leadershipWriter.write({ shard, before, successor, unchangedNode: successor.leader, reason });
+    } else if (ledShards.get(shard)?.shard.needsNewTokens) {
+      await leadershipWriter.write({
+        shard,
+        before,
+        successor: { leader: self.name, incarnation: self.incarnation },
+        unchangedNode: self.name,
+        reason: 'fencing tokens used up',
+      });
+    }
+  }
+
   /**
-   * Hands the shard over if another node should lead it. Normally that is its home node: a node of the
-   * shard's zone is less likely to lose contact with the shard's machines, and the work is shared evenly when
-   * each home node leads its shards. A leader that cannot reach the machines hands the shard to a node that
-   * has reached one of them since. If no node has, the shard stays: each new leader would only restart the
-   * reconciliation.
+   * The node that should lead the shard in place of this one, and why; null if there is none. Normally that is
+   * the shard's home node: a node of the shard's zone is less likely to lose contact with the shard's machines,
+   * and the work is shared evenly when each home node leads its shards. A leader that cannot reach the machines
+   * hands the shard to a node that has reached one of them since. If no node has, the shard stays: each new
+   * leader would only restart the reconciliation.
    */
-  private async handOver(shard: string, before: LeadershipRecord, now: number): Promise<void> {
-    const { leaderCandidates, leadershipWriter, membership, reachability, self } = this.context;
+  private handoverDue(shard: string, now: number): Pick<LeadershipChange, 'successor' | 'reason'> | null {
+    const { leaderCandidates, membership, reachability, self } = this.context;
     const isUnreachable = reachability.isUnreachable(shard);
     const leader = isUnreachable ? this.bestReachingPeer(shard) : leaderCandidates.homeOf(shard);
-    if (leader === undefined || leader === self.name) return;
+    if (leader === undefined || leader === self.name) return null;
     const node = membership.liveNode(leader);
-    if (!node || !membership.canReach(leader, shard)) return;
-    if (!isUnreachable && now - node.since < HANDBACK_DELAY_MS) return;
-    await leadershipWriter.write({
-      shard,
-      before,
+    if (!node || !membership.canReach(leader, shard)) return null;
+    if (!isUnreachable && now - node.since < HANDBACK_DELAY_MS) return null;
+    return {
       successor: { leader, incarnation: node.incarnation },
-      unchangedNode: leader,
       reason: isUnreachable ? 'leader cannot reach shard' : 'home node up',
-    });
+    };
   }
 
   private bestReachingPeer(shard: string): string | undefined {
--- a/packages/scheduler/src/coordination/leadership/leadership-writer.ts
+++ b/packages/scheduler/src/coordination/leadership/leadership-writer.ts
@@ -1,6 +1,8 @@
 /** Writes of leadership records: docs/design.md, "Leadership". */
+import { MAX_FENCING_TOKEN } from '../../constants.ts';
 import type { Precondition } from '../../protocol/key-value.ts';
 import type { KeyValueStore } from '../../storage/key-value-store.ts';
+import { fencingTokensAfter } from '../../storage/fencing-tokens.ts';
 import type { WatchCache } from '../../storage/watch-cache.ts';
 import { encodeLeadership } from '../../storage/record-codec.ts';
 import { type LeaderIdentity, leadershipKey, type LeadershipRecord, nodeKey } from '../../storage/records.ts';
@@ -18,10 +20,10 @@
    */
   readonly unchangedNode: string | null;
   /** Only logged. */
-  readonly reason: 'failover' | 'leader cannot reach shard' | 'home node up';
+  readonly reason: 'failover' | 'leader cannot reach shard' | 'home node up' | 'fencing tokens used up';
 }
 
-/** Replaces leadership records by compare-and-swap, each with a higher fencing token. */
+/** Replaces leadership records by compare-and-swap, each with higher fencing tokens. */
 export class LeadershipWriter {
   constructor(
     private readonly store: KeyValueStore,
@@ -35,13 +37,19 @@
     const key = leadershipKey(shard);
     const preconditions = [this.unchanged(key)];
     if (unchangedNode !== null) preconditions.push(this.unchanged(nodeKey(unchangedNode)));
+    const { first, last: fencingToken } = fencingTokensAfter(before);
+    const formerLeader = before?.leader ?? null;
+    const fields = { shard, reason, formerLeader, ...successor, firstFencingToken: first, fencingToken };
+    if (fencingToken > MAX_FENCING_TOKEN) {
+      this.log.error(fields, 'shard leadership not written: fencing tokens used up');
+      return;
+    }
     const value: LeadershipRecord = {
       ...successor,
-      fencingToken: (before?.fencingToken ?? 0) + 1,
+      fencingToken,
+      fencingTokenCount: fencingToken - first + 1,
       shardMapVersion: this.shardMapVersion,
     };
-    const { fencingToken } = value;
-    const fields = { shard, reason, formerLeader: before?.leader ?? null, ...successor, fencingToken };
     try {
       const result = await this.store.compareAndSwap(
         preconditions,
--- a/packages/scheduler/src/coordination/leadership/led-shard.ts
+++ b/packages/scheduler/src/coordination/leadership/led-shard.ts
@@ -1,6 +1,7 @@
 /** The components of a shard while this node leads it. */
 import { setMaxListeners } from 'node:events';
 import type { CachedPages } from '../../storage/cached-pages.ts';
+import type { FencingTokens } from '../../storage/fencing-tokens.ts';
 import type { OpenJobs } from '../../storage/open-jobs.ts';
 import type { MachinesRecord, ProgressRecord } from '../../storage/records.ts';
 import { parseTaskName } from '../../protocol/workers.ts';
@@ -56,7 +57,7 @@
   /** `onSliceDone` is called when a slice of the job has all its results: see `ShardContext`. */
   constructor(
     name: string,
-    fencingToken: number,
+    tokens: FencingTokens,
     context: LedShardContext,
     onSliceDone: (job: string) => boolean,
   ) {
@@ -68,7 +69,7 @@
     setMaxListeners(0, signal); // every call in progress in the shard listens to it
     this.shard = new ShardLeader(
       name,
-      fencingToken,
+      tokens,
       {
         ...context,
         typeOf: (typeName) => context.catalog.types?.find((type) => type.name === typeName) ?? null,
--- a/packages/scheduler/src/coordination/leadership/led-shards.ts
+++ b/packages/scheduler/src/coordination/leadership/led-shards.ts
@@ -5,6 +5,7 @@
 import { UNFENCED_TOLERATED } from '../../constants.ts';
 import type { Handover, ShardStatus } from '../../protocol/peer-messages.ts';
 import type { Heartbeat } from '../../protocol/workers.ts';
+import { type FencingTokens, fencingTokensOf, isDirectSuccessor } from '../../storage/fencing-tokens.ts';
 import { type LeadershipRecord, sliceName } from '../../storage/records.ts';
 import type { JobCompletion } from '../jobs/job-completion.ts';
 import type { ShardLeader } from '../shard-leader.ts';
@@ -57,15 +58,23 @@
     const led = this.led.get(name);
     if (led && (!isLeader || led.shard.fencingToken !== record.fencingToken)) this.end(led, record);
     this.context.heartbeats.wake();
-    if (isLeader && !this.led.has(name)) this.begin(name, record.fencingToken);
+    if (isLeader && !this.led.has(name)) this.begin(name, fencingTokensOf(record));
   }
 
-  private begin(name: string, fencingToken: number): void {
-    const led = new LedShard(name, fencingToken, this.context, (job) => this.completeIfLedHere(job));
+  private begin(name: string, tokens: FencingTokens): void {
+    const led = new LedShard(name, tokens, this.context, (job) => this.completeIfLedHere(job));
     const { shard } = led;
+    const { watchCache } = this.context;
     this.led.set(name, led);
     this.context.log.info(
-      { shard: name, fencingToken, machines: shard.machines.size, slices: led.initialSliceCount },
+      {
+        shard: name,
+        firstFencingToken: tokens.first,
+        fencingToken: tokens.last,
+        revision: watchCache.currentRevision,
+        machines: shard.machines.size,
+        slices: led.initialSliceCount,
+      },
       'shard leadership acquired',
     );
     const handover = this.handovers.get(name);
@@ -90,9 +99,12 @@
    */
   private sendHandover(shard: ShardLeader, record: LeadershipRecord): void {
     const { fencingToken, leader } = record;
-    if (this.context.membership.isSelf(record) || fencingToken !== shard.fencingToken + 1) return;
+    const { membership, peers } = this.context;
+    if (!isDirectSuccessor(shard.tokens.last, fencingTokensOf(record))) return;
     const notRunning = shard.tasksNotRunning();
-    this.context.peers.send(leader, { kind: 'handover', shard: shard.name, fencingToken, notRunning });
+    const handover: Handover = { kind: 'handover', shard: shard.name, fencingToken, notRunning };
+    if (membership.isSelf(record)) this.onHandover(handover);
+    else peers.send(leader, handover);
   }
 
   private updateCloudShare(): void {
--- a/packages/scheduler/src/coordination/shard-context.ts
+++ b/packages/scheduler/src/coordination/shard-context.ts
@@ -1,6 +1,7 @@
 /**
  * What a controller gives to the leader of a shard: services, views of the deployment, and the shard's state.
  */
+import type { FencingTokens } from '../storage/fencing-tokens.ts';
 import type { KeyValueStore } from '../storage/key-value-store.ts';
 import type { WatchCache } from '../storage/watch-cache.ts';
 import type { Machine } from '../storage/machine.ts';
@@ -76,8 +77,8 @@
 export interface ShardState {
   /** The shard's name. */
   readonly name: string;
-  /** The fencing token of this leadership. */
-  readonly fencingToken: number;
+  /** The fencing tokens of this leadership. */
+  readonly tokens: FencingTokens;
   /** Whether this node may still act as the shard's leader. */
   readonly leadership: ShardLeadership;
   /** The shard's machines, by id. */
--- a/packages/scheduler/src/coordination/shard-leader.ts
+++ b/packages/scheduler/src/coordination/shard-leader.ts
@@ -1,9 +1,10 @@
 /** The leader of a shard: creates the components that each carry out one of its duties, and connects them. */
 import { type Machine, recordedMachine, resolveType } from '../storage/machine.ts';
 import { type SliceAssignment, Slice } from '../storage/slice.ts';
+import type { FencingTokens } from '../storage/fencing-tokens.ts';
 import type { ExactInteger } from '../protocol/json.ts';
 import type { Handover, LoadSummary, MachinePool } from '../protocol/peer-messages.ts';
-import type { Command, Heartbeat } from '../protocol/workers.ts';
+import type { FencingToken, Heartbeat, LeaderReply } from '../protocol/workers.ts';
 import { TeamUsage } from './quota/team-usage.ts';
 import { type RecordedPages, ShardRecords } from './reconciliation/shard-records.ts';
 import { UnreconciledMachines } from './reconciliation/unreconciled-machines.ts';
@@ -17,6 +18,7 @@
 import { HeartbeatHandler } from './workers/heartbeat-handler.ts';
 import { MachineFencing } from './workers/machine-fencing.ts';
 import { MachineProber } from './workers/machine-prober.ts';
+import { MachineTokens } from './workers/machine-tokens.ts';
 import { ReportedTasks } from './workers/reported-tasks.ts';
 import { TaskAttempts } from './workers/task-attempts.ts';
 import { TerminatedMachines } from './workers/terminated-machines.ts';
@@ -54,11 +56,12 @@
   private readonly fencing: MachineFencing;
   private readonly unreconciledMachines: UnreconciledMachines;
   private readonly terminated = new TerminatedMachines();
+  private readonly machineTokens: MachineTokens;
   private readonly beganAt: number;
 
   constructor(
     readonly name: string,
-    readonly fencingToken: number,
+    readonly tokens: FencingTokens,
     private readonly context: ShardContext,
     signal: AbortSignal,
     recorded: RecordedShard,
@@ -82,7 +85,8 @@
     this.failures = new FailureAttribution(context.failingJobs, context.log);
     this.attempts = this.createAttempts();
     this.scheduler = this.createScheduler();
-    const commands = new WorkerCommands(context, this.leadership);
+    this.machineTokens = new MachineTokens(tokens);
+    const commands = new WorkerCommands(context, this.leadership, this.machineTokens);
     const heartbeats = this.createHeartbeatHandler(commands);
     this.heartbeats = heartbeats;
     this.sender = new CommandSender(context, this, { commands, replies: heartbeats });
@@ -128,12 +132,13 @@
   }
 
   private createHeartbeatHandler(commands: WorkerCommands): HeartbeatHandler {
-    const { context, attempts, scheduler, unreconciledMachines, terminated } = this;
+    const { context, attempts, machineTokens, scheduler, unreconciledMachines, terminated } = this;
     const reportedTasks = new ReportedTasks(context.clock, this, attempts);
     return new HeartbeatHandler(context, this, {
       attempts,
       reportedTasks,
       commands,
+      tokens: machineTokens,
       scheduler,
       unreconciledMachines,
       terminated,
@@ -141,10 +146,11 @@
   }
 
   private addRecordedMachines(pages: RecordedShard['machines']): void {
-    const { beganAt, context } = this;
+    const { beganAt, context, tokens } = this;
+    const former = { fencingToken: tokens.first, formerLeaseEndsAt: beganAt + context.leaderLeaseMs };
     for (const [, page] of pages) {
       for (const [id, record] of Object.entries(page.machines)) {
-        const machine = recordedMachine(id, record, beganAt, beganAt + context.leaderLeaseMs);
+        const machine = recordedMachine(id, record, beganAt, former);
         resolveType(machine, context.typeOf);
         this.machines.set(id, machine);
         this.unreconciledMachines.add(machine);
@@ -200,8 +206,13 @@
     this.scheduler.slicesChanged();
   }
 
-  /** Handles a heartbeat. Returns the commands of the reply; null if the worker lease must not be renewed. */
-  onHeartbeat(heartbeat: Heartbeat): Command[] | null {
+  /** The last fencing token of the leadership, which identifies it in records and messages. */
+  get fencingToken(): FencingToken {
+    return this.tokens.last;
+  }
+
+  /** Handles a heartbeat. Returns the reply, which renews the worker lease. */
+  onHeartbeat(heartbeat: Heartbeat): LeaderReply {
     return this.heartbeats.onHeartbeat(heartbeat);
   }
 
@@ -212,6 +223,15 @@
     this.requestScheduling();
   }
 
+  /**
+   * Whether the shard needs a new leadership, with fencing tokens and attempt numbers of its own: a machine's
+   * token cannot be raised any more, so that calls to it carry no launches, or no attempt can be started.
+   */
+  get needsNewTokens(): boolean {
+    if (this.attempts.areNumbersUsedUp) return true;
+    return [...this.machines.values()].some((machine) => !this.machineTokens.canRaise(machine));
+  }
+
   /**
    * The tasks that certainly run nowhere, by slice, as encoded `TaskSet`s: the handover to the next leader.
    * The result is valid only once this leader no longer starts tasks.
--- a/packages/scheduler/src/coordination/workers/command-sender.ts
+++ b/packages/scheduler/src/coordination/workers/command-sender.ts
@@ -61,7 +61,7 @@
     const { leadership } = this.shard;
     const { commands: workerCommands } = this.collaborators;
     const commands = leadership.hasLeaderLease()
-      ? workerCommands.commandsFor(machine, 'direct')
+      ? workerCommands.commandsForCall(machine)
       : workerCommands.stopCommandsForCancelled(machine);
     if (commands.length === 0) return;
     machine.commandInFlight = true;
@@ -72,7 +72,7 @@
     machine.commandInFlight = false;
     if (outcome === 'unknown') return; // The launches may still arrive.
     workerCommands.resolveLaunches(machine, launched);
-    if ([...machine.attempts.values()].some(({ phase }) => phase === 'new')) this.sendPending(machine);
+    if (workerCommands.hasLaunchForCall(machine)) this.sendPending(machine);
   }
 
   /** Sends the commands, which may be none, and records whether the machine answers. */
@@ -93,7 +93,7 @@
     // Before the first heartbeat the agent epoch is a guess: most workers are still in their first one. A
     // worker rejects a wrong guess, and the status in its answer shows the right one.
     const agentEpoch = machine.agentEpoch === 0 ? FIRST_AGENT_EPOCH : machine.agentEpoch;
-    const body = stringifyJson(encodeCommands(this.shard.fencingToken, agentEpoch, commands));
+    const body = stringifyJson(encodeCommands(machine.fencingToken, agentEpoch, commands));
     try {
       const answer = await this.context.http({
         address: machine.endpoint,
--- a/packages/scheduler/src/coordination/workers/heartbeat-handler.ts
+++ b/packages/scheduler/src/coordination/workers/heartbeat-handler.ts
@@ -4,12 +4,13 @@
 import { type Machine, newMachine, resolveType } from '../../storage/machine.ts';
 import { startDraining } from '../../storage/machine-lifecycle.ts';
 import type { HeartbeatState } from '../../storage/machine-state.ts';
-import type { Command, Heartbeat } from '../../protocol/workers.ts';
+import type { Command, Heartbeat, LeaderReply } from '../../protocol/workers.ts';
 import type { UnreconciledMachines } from '../reconciliation/unreconciled-machines.ts';
 import type { Scheduler } from '../scheduling/scheduler.ts';
 import type { ShardContext, ShardState } from '../shard-context.ts';
 import type { CommandReplyHandler } from './command-sender.ts';
 import { markFenced } from './machine-fencing.ts';
+import type { MachineTokens } from './machine-tokens.ts';
 import type { ReportedTasks, StatusSource } from './reported-tasks.ts';
 import type { TaskAttempts } from './task-attempts.ts';
 import type { TerminatedMachines } from './terminated-machines.ts';
@@ -24,6 +25,8 @@
   readonly reportedTasks: ReportedTasks;
   /** Chooses the commands of the answer. */
   readonly commands: WorkerCommands;
+  /** The fencing tokens that the machines are shown. */
+  readonly tokens: MachineTokens;
   /** Starts pending tasks on the machine before its heartbeat is answered. */
   readonly scheduler: Scheduler;
   /** The machines that are unreconciled since the change of leader. */
@@ -40,29 +43,34 @@
     private readonly collaborators: HeartbeatCollaborators,
   ) {}
 
-  /**
-   * Applies a heartbeat and returns the commands for its reply. Returns null if the worker lease must not be
-   * renewed.
-   */
-  onHeartbeat(heartbeat: Heartbeat): Command[] | null {
-    const { attempts, reportedTasks, commands, scheduler, terminated } = this.collaborators;
+  /** Applies a heartbeat and returns the reply, which renews the worker lease. */
+  onHeartbeat(heartbeat: Heartbeat): LeaderReply {
     let machine = this.shard.machines.get(heartbeat.machine);
     if (!machine) {
       // A heartbeat from a terminated machine is a late copy. If the machine were added again, it would be
       // given tasks until it is found silent.
-      if (terminated.has(heartbeat.machine)) return [];
+      if (this.collaborators.terminated.has(heartbeat.machine))
+        return { fencingToken: this.shard.tokens.first, commands: [] };
       machine = this.addMachine(heartbeat);
     }
+    const commands = this.replyCommands(machine, heartbeat);
+    return { fencingToken: machine.fencingToken, commands };
+  }
+
+  private replyCommands(machine: Machine, heartbeat: Heartbeat): Command[] {
+    const { reportedTasks, commands, scheduler, tokens } = this.collaborators;
     const isNew = this.apply(machine, heartbeat, 'heartbeat');
-    if (attempts.mayLaunchCancelledTask(machine)) return null;
     // The reply renews the worker lease, so the renewal is recorded whatever the heartbeat contains.
     renewLease(machine, this.context.clock.now());
-    // Every reply that renews a worker lease stops the listed tasks of ended jobs, even if the heartbeat is
-    // older than the last one applied. The next heartbeat may not be answered in time, or may never arrive.
-    if (!isNew) return reportedTasks.stopCommandsFor(heartbeat);
+    commands.fenceUnansweredLaunches(machine);
+    // Every reply that renews a worker lease stops the tasks of ended jobs, those that the heartbeat lists and
+    // those that a call may have started since, even if the heartbeat is older than the last one applied. The
+    // next heartbeat may not be answered in time, or may never arrive.
+    const unlisted = commands.stopCommandsForUnansweredLaunches(machine);
+    if (!isNew) return [...unlisted, ...reportedTasks.stopCommandsFor(heartbeat)];
     scheduler.beforeHeartbeatReply(machine);
-    const due = commands.commandsFor(machine, 'heartbeat');
-    return heartbeat.fencingToken < this.shard.fencingToken
+    const due = commands.commandsForReply(machine);
+    return tokens.isEarlier(heartbeat.fencingToken)
       ? [...due, ...reportedTasks.stopCommandsFor(heartbeat)]
       : due;
   }
@@ -77,7 +85,9 @@
 
   private addMachine(heartbeat: Heartbeat): Machine {
     const { machine: id, endpoint, type, zone, spot } = heartbeat;
-    const machine = newMachine(id, { endpoint, type, zone, spot }, this.context.clock.now());
+    const { clock } = this.context;
+    const record = { endpoint, type, zone, spot };
+    const machine = newMachine(id, record, clock.now(), this.shard.tokens.first);
     this.shard.machines.set(id, machine);
     this.context.log.info({ shard: this.shard.name, machine: id, type, spot }, 'machine joined the shard');
     return machine;
@@ -88,8 +98,8 @@
    * shard has a newer leader.
    */
   private apply(machine: Machine & HeartbeatState, heartbeat: Heartbeat, source: StatusSource): boolean {
-    const { attempts, reportedTasks, scheduler } = this.collaborators;
-    if (heartbeat.fencingToken > this.shard.fencingToken) {
+    const { attempts, reportedTasks, scheduler, tokens } = this.collaborators;
+    if (tokens.isLater(heartbeat.fencingToken)) {
       this.shard.leadership.markSuperseded();
       return false;
     }
@@ -99,8 +109,9 @@
     this.updateState(machine, heartbeat, source);
     resolveType(machine, this.context.typeOf);
     this.recordPreemptionNotice(machine, heartbeat);
-    if (heartbeat.fencingToken === this.shard.fencingToken && !machine.fenced) this.onFenced(machine);
-    if (heartbeat.fencingToken < this.shard.fencingToken) {
+    if (tokens.isOwn(heartbeat.fencingToken) && !machine.fenced) this.onFenced(machine);
+    tokens.observe(machine, heartbeat.fencingToken);
+    if (tokens.isEarlier(heartbeat.fencingToken)) {
       this.applyFormerLeaderStatus(machine, heartbeat);
       return true;
     }
--- a/packages/scheduler/src/coordination/workers/heartbeat-router.ts
+++ b/packages/scheduler/src/coordination/workers/heartbeat-router.ts
@@ -67,12 +67,8 @@
     if (successor !== null) return { kind: 'redirect', node: successor };
     // A worker that has seen a higher fencing token would drop this node's reply, and its worker lease would
     // expire.
-    if (leader && heartbeat.fencingToken <= leader.fencingToken && hasLeaderLease()) {
-      const commands = leader.onHeartbeat(heartbeat);
-      return commands
-        ? { kind: 'commands', fencingToken: leader.fencingToken, commands }
-        : { kind: 'unavailable' };
-    }
+    if (leader && heartbeat.fencingToken <= leader.tokens.last && hasLeaderLease())
+      return { kind: 'commands', ...leader.onHeartbeat(heartbeat) };
     const record = membership.leaderOf(shardName);
     if (record && record.leader !== self.name && membership.liveNodes().includes(record.leader))
       return { kind: 'redirect', node: record.leader };
--- a/packages/scheduler/src/coordination/workers/reported-tasks.ts
+++ b/packages/scheduler/src/coordination/workers/reported-tasks.ts
@@ -43,7 +43,7 @@
       if (attempt) this.update(machine, attempt, reported);
     }
     for (const attempt of [...machine.attempts.values()])
-      if (!listed.has(attempt.key)) this.onUnlisted(machine, attempt, source);
+      if (!listed.has(attempt.key)) this.onUnlisted(machine, attempt, heartbeat, source);
     for (const key of [...machine.endedAttempts.keys()])
       if (source === 'heartbeat' && !listed.has(key)) machine.endedAttempts.delete(key);
     this.attempts.updateLoad(machine);
@@ -76,6 +76,7 @@
   private update(machine: Machine, attempt: Attempt, reported: ReportedTask): void {
     const { state, reason } = reported;
     attempt.phase = 'seen';
+    attempt.callToken = 0;
     if (attempt.slice && (state === 'running' || reason === 'done')) {
       const { image, imageGb } = attempt.slice.spec;
       if (attempt.state === 'fetching' || !machine.images.has(image)) recordImageUse(machine, image, imageGb);
@@ -87,12 +88,20 @@
     if (!attempt.slice) this.recordEnd(machine, reported, reason);
   }
 
-  private onUnlisted(machine: Machine, attempt: Attempt, source: StatusSource): void {
+  private onUnlisted(
+    machine: Machine,
+    attempt: Attempt,
+    { fencingToken }: Heartbeat,
+    source: StatusSource,
+  ): void {
     if (attempt.phase === 'seen') return this.attempts.markLost(machine, attempt);
+    // The worker refuses an unanswered call with the launch only if it has accepted a higher token since.
+    if (attempt.phase === 'new' || attempt.callToken >= fencingToken) return;
     // The worker did not execute the launch, and drops the reply that carried it if the reply still arrives:
     // a worker sends a heartbeat only after it has stopped waiting for the reply to the previous one. The
     // answer to a call does not prove this, because it can cross the reply to a heartbeat.
-    if (attempt.phase !== 'sent' || source === 'reply') return;
+    if (source === 'reply') return;
+    attempt.callToken = 0;
     // The attempt is launched again, unless the machine does not answer calls. In that case the task becomes
     // pending, and another machine may get it.
     if (attempt.stopping || machine.unreachableSince !== Infinity) this.attempts.markLost(machine, attempt);
--- a/packages/scheduler/src/coordination/workers/task-attempts.ts
+++ b/packages/scheduler/src/coordination/workers/task-attempts.ts
@@ -43,12 +43,12 @@
   ) {}
 
   /**
-   * Starts an attempt; a command launches it later. Once the attempt numbers of the fencing token are used
-   * up, starts nothing and reports this leader as superseded: further numbers belong to the next leader.
+   * Starts an attempt; a command launches it later. Once the attempt numbers of the leadership are used
+   * up, starts nothing and reports this leader as superseded: further numbers belong to the next leadership.
    */
   start(machine: Machine & AttemptState, slice: Slice, position: number, now: number): void {
-    if (this.startedCount >= ATTEMPTS_PER_TOKEN - 1) return this.context.onSuperseded(this.shard.name);
-    const number = this.shard.fencingToken * ATTEMPTS_PER_TOKEN + ++this.startedCount;
+    if (this.areNumbersUsedUp) return this.context.onSuperseded(this.shard.name);
+    const number = this.shard.tokens.first * ATTEMPTS_PER_TOKEN + ++this.startedCount;
     const task = taskName(slice.spec.id, slice.index(position));
     const key = attemptKey(task, number);
     this.attach(machine, {
@@ -62,6 +62,11 @@
     machine.bookedSinceHeartbeat = bookedShare(machine, ({ phase }) => phase !== 'seen');
   }
 
+  /** Whether no attempt can be started any more, because the attempt numbers of the leadership are used up. */
+  get areNumbersUsedUp(): boolean {
+    return this.startedCount >= ATTEMPTS_PER_TOKEN - 1;
+  }
+
   /** Adopts an attempt that the machine reports and this leader has no record of. */
   adopt(machine: Machine, identity: AttemptIdentity, state: Attempt['state']): Attempt {
     const { key, slice, position } = identity;
@@ -80,7 +85,7 @@
     identity: AttemptIdentity,
     startedAt: number,
   ): Omit<Attempt, 'phase' | 'state' | 'stopping'> {
-    return { ...identity, graceS: 0, startedAt, jobOpenConfirmedAt: Infinity, runningAt: Infinity };
+    return { ...identity, graceS: 0, startedAt, callToken: 0, runningAt: Infinity };
   }
 
   /** Ends an attempt that the machine reports as ended. */
@@ -165,7 +170,6 @@
   private markAllLost(machine: Machine): void {
     for (const attempt of [...machine.attempts.values()]) this.markLost(machine, attempt);
     machine.endedAttempts.clear();
-    machine.launchesInDoubt.clear();
   }
 
   /** Computes the machine's load after a status: of the tasks that it reports, and of those started since. */
@@ -184,28 +188,12 @@
       if (attempt.slice !== slice) continue;
       attempt.stopping = true;
       attempt.graceS = 0;
-      attempt.jobOpenConfirmedAt = this.context.watchCache.confirmedAt;
       if (attempt.phase === 'new') this.detach(machine, attempt);
       else needsStopCommand = true;
     }
     return needsStopCommand;
   }
 
-  /**
-   * Whether a launch by this leader may still arrive at the machine although its job has been over for longer
-   * than the duration of the leader lease. A launch that was sent by a call and never answered may be
-   * executed as long as the agent epoch lasts. The worker lease is then not renewed, just as if this leader
-   * had lost contact with the key-value store when the job ended. The agent epoch therefore ends within the
-   * time in which a cancellation must take effect.
-   */
-  mayLaunchCancelledTask(machine: Machine): boolean {
-    const now = this.context.clock.now();
-    for (const { phase, jobOpenConfirmedAt } of machine.attempts.values()) {
-      if (phase === 'direct' && now - jobOpenConfirmedAt > this.context.leaderLeaseMs) return true;
-    }
-    return false;
-  }
-
   private attach(machine: Machine, attempt: Attempt): void {
     attach(machine, attempt);
     this.collaborators.usage.count(attempt, 1);
--- a/packages/scheduler/src/protocol/workers.ts
+++ b/packages/scheduler/src/protocol/workers.ts
@@ -69,6 +69,13 @@
   | { op: 'stop'; task: string; attempt: ExactInteger; graceS: number }
   | { op: 'forget'; task: string; attempt: ExactInteger };
 
+/** The answer to a heartbeat from the leader of the machine's shard. It renews the worker lease. */
+export interface LeaderReply {
+  /** A worker that has seen a higher token drops the answer. */
+  fencingToken: FencingToken;
+  commands: Command[];
+}
+
 const wireTask = z.object({
   pratica: z.string(),
   tentativo: exactInteger,
--- a/packages/scheduler/src/storage/attempt.ts
+++ b/packages/scheduler/src/storage/attempt.ts
@@ -1,13 +1,12 @@
 /** Attempts: single runs of tasks on machines, as the leader of the shard keeps them in memory. */
 import type { ExactInteger } from '../protocol/json.ts';
-import type { EndReason, TaskState } from '../protocol/workers.ts';
+import type { EndReason, FencingToken, TaskState } from '../protocol/workers.ts';
 import type { Slice } from './slice.ts';
 
 /**
  * Progress of a launch. `new`: not sent yet. `sent`: sent in the reply to a heartbeat. The worker drops a
- * late reply, so the next heartbeat shows whether the launch arrived. `direct`: sent by a call to the machine
- * that got no answer, so the launch may still arrive at any time within the agent epoch. `seen`: reported in
- * a heartbeat.
+ * late reply, so the next heartbeat shows whether the launch arrived. `direct`: sent only by a call to the
+ * machine that has got no answer. `seen`: reported in a heartbeat.
  */
 export type LaunchPhase = 'new' | 'sent' | 'direct' | 'seen';
 
@@ -24,6 +23,11 @@
   /** Position of the task in the slice; 0 without one. */
   readonly position: number;
   phase: LaunchPhase;
+  /**
+   * The fencing token of the last call with its launch, while that call is unanswered; else 0. The call may be
+   * executed until the machine has accepted a higher token, or its agent epoch has ended.
+   */
+  callToken: FencingToken;
   /** As last reported; `fetching` before the first report. */
   state: TaskState;
   /** Whether a stop command for it is to be sent or has been sent. */
@@ -32,11 +36,6 @@
   graceS: number;
   /** When it was launched, or adopted from an earlier leader, in milliseconds of the clock. */
   readonly startedAt: number;
-  /**
-   * When the key-value store was last contacted before the job was known to be finished, in milliseconds of
-   * the clock (see `WatchCache.confirmedAt`); infinite while the job is not known to be finished.
-   */
-  jobOpenConfirmedAt: number;
   /** When it was first reported as running, in milliseconds of the clock; infinite before. */
   runningAt: number;
 }
--- a/packages/scheduler/src/storage/machine-state.ts
+++ b/packages/scheduler/src/storage/machine-state.ts
@@ -4,6 +4,7 @@
  * times are milliseconds of the clock.
  */
 import type { ExactInteger } from '../protocol/json.ts';
+import type { FencingToken } from '../protocol/workers.ts';
 import type { Attempt, EndedAttempt } from './attempt.ts';
 import type { Resources } from './resources.ts';
 
@@ -43,11 +44,6 @@
   cachedFreeCapacity: Resources | null | undefined;
   /** By key; coordination/workers/reported-tasks.ts removes those that the worker has forgotten. */
   readonly endedAttempts: Map<string, EndedAttempt>;
-  /**
-   * Keys of attempts whose direct launch got no answer. coordination/workers/worker-commands.ts keeps them
-   * until the agent epoch ends: if the worker forgot one of them, a late launch would start it again.
-   */
-  readonly launchesInDoubt: Set<string>;
   /** Booked share of the scarcest resource according to the last heartbeat. */
   load: number;
   /** Share booked by the tasks started since the last heartbeat. */
@@ -70,10 +66,27 @@
   readonly formerLeaderMayRenewUntil: number;
 }
 
+/** The fencing tokens that the machine is shown. Changed by coordination/workers/machine-tokens.ts. */
+export interface TokenState {
+  /** The fencing token of everything that is sent to the machine. It only rises. */
+  fencingToken: FencingToken;
+  /**
+   * The token of the last call with a launch; 0 if there was none. Calls with this token, and copies of them,
+   * may be executed until the machine has been shown a higher one.
+   */
+  launchCallToken: FencingToken;
+}
+
+/** The forget commands for the machine. Changed by coordination/workers/worker-commands.ts. */
+export interface ForgetState {
+  /** Whether the last call left out the forget commands that were due, so that the next reply carries them. */
+  isForgetHeldBack: boolean;
+}
+
 /** Whether the machine has accepted this leader. Changed by coordination/workers/machine-fencing.ts. */
 export interface FencingState {
   /**
-   * Whether it has reported this leader's fencing token. From then on its heartbeats report every task that
+   * Whether it has reported a fencing token of this leader. From then on its heartbeats report every task that
    * is on it.
    */
   fenced: boolean;
--- a/packages/scheduler/src/storage/machine.ts
+++ b/packages/scheduler/src/storage/machine.ts
@@ -4,11 +4,13 @@
  */
 import { FENCING_DELAY_MS } from '../constants.ts';
 import type { MachineType } from '../protocol/cloud.ts';
+import type { FencingToken } from '../protocol/workers.ts';
 import type { Attempt } from './attempt.ts';
 import type {
   AttemptState,
   FailureHistory,
   FencingState,
+  ForgetState,
   HeartbeatState,
   IdleState,
   LeaseState,
@@ -17,6 +19,7 @@
   ReachabilityState,
   ReconciliationState,
   RecordState,
+  TokenState,
 } from './machine-state.ts';
 import type { MachineRecord } from './records.ts';
 import { dominantShare, type Resources } from './resources.ts';
@@ -27,6 +30,8 @@
     Readonly<HeartbeatState>,
     Readonly<AttemptState>,
     Readonly<LeaseState>,
+    Readonly<TokenState>,
+    Readonly<ForgetState>,
     Readonly<FencingState>,
     Readonly<ReconciliationState>,
     Readonly<ProbeState>,
@@ -49,8 +54,16 @@
 export const machinePoolKey = (type: string, spot: boolean): string =>
   `${spot ? 'spot' : 'ordinary'}/${type}`;
 
-/** A machine that no leader has recorded; `now` is when its first heartbeat arrived. */
-export function newMachine(id: string, record: MachineRecord, now: number): Machine {
+/**
+ * A machine that no leader has recorded; `now` is when its first heartbeat arrived. `fencingToken` is the first
+ * token of the leadership.
+ */
+export function newMachine(
+  id: string,
+  record: MachineRecord,
+  now: number,
+  fencingToken: FencingToken,
+): Machine {
   return {
     id,
     endpoint: record.endpoint,
@@ -58,6 +71,9 @@
     type: null,
     zone: record.zone,
     spot: record.spot,
+    fencingToken,
+    launchCallToken: 0,
+    isForgetHeldBack: false,
     persisted: false,
     fenced: false,
     unreconciled: false,
@@ -79,7 +95,6 @@
     attempts: new Map(),
     cachedFreeCapacity: undefined,
     endedAttempts: new Map(),
-    launchesInDoubt: new Set(),
     load: 0,
     bookedSinceHeartbeat: 0,
     images: new Map(),
@@ -100,10 +115,10 @@
   id: string,
   record: MachineRecord,
   now: number,
-  formerLeaseEndsAt: number,
+  { fencingToken, formerLeaseEndsAt }: { fencingToken: FencingToken; formerLeaseEndsAt: number },
 ): Machine {
   return {
-    ...newMachine(id, record, now),
+    ...newMachine(id, record, now, fencingToken),
     persisted: true,
     nextFencingAt: now + FENCING_DELAY_MS,
     leaseRenewedAt: formerLeaseEndsAt,
--- a/packages/scheduler/src/storage/record-codec.ts
+++ b/packages/scheduler/src/storage/record-codec.ts
@@ -53,6 +53,8 @@
   owner: z.string(),
   incarnation: z.string(),
   token: z.number(),
+  // Records of an older version, which gave each leadership one token, lack this field.
+  tokens: z._default(z.number(), 1),
   // Records of an older version, which had a different shard map, lack this field.
   layout: z._default(z.string(), ''),
 });
@@ -86,11 +88,13 @@
 
 /** The stored form of the record that makes a node the leader of a shard. */
 export function encodeLeadership(record: LeadershipRecord): object {
+  const { fencingTokenCount } = record;
   return {
     owner: record.leader,
     incarnation: record.incarnation,
     token: record.fencingToken,
     layout: record.shardMapVersion,
+    ...(fencingTokenCount === 1 ? {} : { tokens: fencingTokenCount }),
   };
 }
 
@@ -137,6 +141,7 @@
     leader: stored.owner,
     incarnation: stored.incarnation,
     fencingToken: stored.token,
+    fencingTokenCount: stored.tokens,
     shardMapVersion: stored.layout,
   };
 }
--- a/packages/scheduler/src/storage/records.ts
+++ b/packages/scheduler/src/storage/records.ts
@@ -43,7 +43,10 @@
 
 /** The leader of a shard. Changed only by compare-and-swap, with a higher fencing token each time. */
 export interface LeadershipRecord extends LeaderIdentity {
+  /** The last fencing token of the leadership. */
   fencingToken: FencingToken;
+  /** How many fencing tokens, up to `fencingToken`, belong to the leadership. */
+  fencingTokenCount: number;
   /** Version of the shard map that the shard belongs to. Another map assigns its machines to other shards. */
   shardMapVersion: string;
 }
--- a/packages/scheduler/test/migration-outcomes.test.ts
+++ b/packages/scheduler/test/migration-outcomes.test.ts
@@ -17,6 +17,7 @@
 /** A task that migrates. */
 const REPORTED = 4;
 const FENCING_TOKEN = 3;
+const TOKENS = { first: FENCING_TOKEN, last: FENCING_TOKEN };
 const slice: SliceAssignment = {
   name: 'a/j-1/0',
   spec: decodedJobSpec({ pratiche: TASKS }),
@@ -47,7 +48,7 @@
   private agentEpoch = 1;
 
   constructor() {
-    this.shard = new ShardLeader('a', FENCING_TOKEN, this.context(), new AbortController().signal, {
+    this.shard = new ShardLeader('a', TOKENS, this.context(), new AbortController().signal, {
       machines: [],
       progress: [],
       slices: [slice],
@@ -105,7 +106,7 @@
       preemptionNoticeS: null,
       tasks,
     };
-    return this.shard.onHeartbeat(heartbeat) ?? [];
+    return this.shard.onHeartbeat(heartbeat).commands;
   }
 
   /** The first heartbeat of the worker's next agent epoch, in which nothing is on the machine. */
--- a/packages/scheduler/test/scale.test.ts
+++ b/packages/scheduler/test/scale.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
+import { TOKENS_PER_LEADERSHIP } from '../src/constants.ts';
 import { Cluster, HEARTBEAT_INTERVAL_MS } from './support/cluster.ts';
 
 const zones = ['a', 'b', 'c'];
@@ -87,7 +88,8 @@
     await cluster.clock.advance(2000);
     assert.equal(nodeIds.flatMap((nodeId) => cluster.ledShards(nodeId)).length, 6);
     const records = [...cluster.keyValueStore.data].filter(([key]) => key.startsWith('live/part/'));
-    for (const [key, { v }] of records) assert.equal((v as { token: number }).token, 2, key);
+    for (const [key, { v }] of records)
+      assert.equal((v as { token: number }).token, 2 * TOKENS_PER_LEADERSHIP, key);
     // New tasks start at once, because they cannot be running on the unreachable machine.
     assert.equal((await cluster.submit('b', 'j-90', 60)).status, 201);
     await cluster.clock.advance(HEARTBEAT_INTERVAL_MS);
--- a/packages/scheduler/test/support/builders.ts
+++ b/packages/scheduler/test/support/builders.ts
@@ -24,7 +24,7 @@
 
 /** Builds a machine without tasks. `load` and `bookedSinceHeartbeat` are shares of its scarcest resource. */
 export function machine(id: string, load = 0, bookedSinceHeartbeat = 0, spot = false): WritableMachine {
-  const built: WritableMachine = newMachine(id, { endpoint: 'x:1', type: 'small', zone: 'a', spot }, 0);
+  const built: WritableMachine = newMachine(id, { endpoint: 'x:1', type: 'small', zone: 'a', spot }, 0, 1);
   built.type = machineType;
   built.load = load;
   built.bookedSinceHeartbeat = bookedSinceHeartbeat;
@@ -67,7 +67,7 @@
     slice,
     position: number,
     startedAt,
-    jobOpenConfirmedAt: Infinity,
+    callToken: 0,
     state: 'running',
     phase: 'seen',
     stopping: false,
--- a/packages/scheduler/test/support/wire-samples.ts
+++ b/packages/scheduler/test/support/wire-samples.ts
@@ -143,6 +143,10 @@
     'live/part/a.0',
     { owner: 'node-a', incarnation: 'f00d', token: 7 },
   ],
+  'part with several tokens': [
+    'live/part/a.0',
+    { owner: 'node-a', incarnation: 'f00d', token: 70, layout: 'a/2 b/2', tokens: 64 },
+  ],
   'part gone': ['live/part/a.0', undefined],
   'part without token': ['live/part/a.0', { owner: 'node-a', incarnation: 'f00d', layout: '' }],
   machines: ['live/machines/a.0/3', { machines: { 'm-1': machineRecord, 'm-2': machineRecord } }],
