Log each command with its token and what allowed it, and count commands by shard

What was missing: the records of the incident say which launch ran where, but the controllers' logs say nothing of a start, a stop or a forget, nor of the token that it went under.

At `debug`, one line for each message with commands: machine, route, fencing token, session, commands with task and attempt, when the store was last heard and what is left of the leader lease; and one for a call that was refused or not answered. At `info`, once a minute for each shard with any commands: counts by kind and route, calls refused and unanswered, tokens raised.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -154,6 +154,8 @@
  * worker reports each such change. Sent alone, the command would cause an extra heartbeat for every task.
  */
 export const FORGET_DELAY_MS = 20_000;
+/** Milliseconds between log lines that count a shard's commands to machines. */
+export const COMMAND_COUNTS_MS = 60_000;
 /** Milliseconds after which the reply to a heartbeat has normally reached its worker. */
 export const REPLY_DELIVERY_MS = 500;
 /** Ended tasks of a machine above which they are forgotten at once; each lengthens every heartbeat. */
--- a/packages/scheduler/src/coordination/shard-leader.ts
+++ b/packages/scheduler/src/coordination/shard-leader.ts
@@ -13,6 +13,7 @@
 import { ShardLeadership } from './shard-leadership.ts';
 import { ShardSlices } from './shard-slices.ts';
 import { loadSummary, longestRunMs, runningTasks, unreconciledCount } from './shard-status.ts';
+import { CommandLog } from './workers/command-log.ts';
 import { CommandSender } from './workers/command-sender.ts';
 import { FailureAttribution } from './workers/failure-attribution.ts';
 import { HeartbeatHandler } from './workers/heartbeat-handler.ts';
@@ -57,6 +58,7 @@
   private readonly unreconciledMachines: UnreconciledMachines;
   private readonly terminated = new TerminatedMachines();
   private readonly machineTokens: MachineTokens;
+  private readonly commandLog: CommandLog;
   private readonly beganAt: number;
 
   constructor(
@@ -86,10 +88,15 @@
     this.attempts = this.createAttempts();
     this.scheduler = this.createScheduler();
     this.machineTokens = new MachineTokens(tokens);
+    this.commandLog = new CommandLog(context, name, this.machineTokens);
     const commands = new WorkerCommands(context, this.leadership, this.machineTokens);
     const heartbeats = this.createHeartbeatHandler(commands);
     this.heartbeats = heartbeats;
-    this.sender = new CommandSender(context, this, { commands, replies: heartbeats });
+    this.sender = new CommandSender(context, this, {
+      commands,
+      commandLog: this.commandLog,
+      replies: heartbeats,
+    });
     this.prober = new MachineProber(context, this, this.sender);
     this.fencing = new MachineFencing(context, this.prober);
     this.shardSlices = new ShardSlices(this, {
@@ -132,12 +139,14 @@
   }
 
   private createHeartbeatHandler(commands: WorkerCommands): HeartbeatHandler {
-    const { context, attempts, machineTokens, scheduler, unreconciledMachines, terminated } = this;
+    const { context, attempts, commandLog, machineTokens, scheduler, unreconciledMachines, terminated } =
+      this;
     const reportedTasks = new ReportedTasks(context.clock, this, attempts);
     return new HeartbeatHandler(context, this, {
       attempts,
       reportedTasks,
       commands,
+      commandLog,
       tokens: machineTokens,
       scheduler,
       unreconciledMachines,
@@ -260,6 +269,7 @@
       if (machine.backoffUntil > 0 && machine.backoffUntil <= now) this.requestScheduling();
     }
     this.shardSlices.endBackoffs(now);
+    this.commandLog.logCountsIfDue();
     this.records.recordMachines();
     this.records.recordProgress();
     this.scheduler.tick();
--- a/packages/scheduler/src/coordination/workers/command-sender.ts
+++ b/packages/scheduler/src/coordination/workers/command-sender.ts
@@ -13,6 +13,7 @@
 } from '../../protocol/workers.ts';
 import { NoAnswer } from '../../transport/http-client.ts';
 import type { ShardContext, ShardState } from '../shard-context.ts';
+import type { CommandLog } from './command-log.ts';
 import type { WorkerCommands } from './worker-commands.ts';
 
 /**
@@ -33,6 +34,8 @@
   readonly commands: WorkerCommands;
   /** Handles the status in the answers. */
   readonly replies: CommandReplyHandler;
+  /** Logs the commands. */
+  readonly commandLog: CommandLog;
 }
 
 /** Records that the machine left a probe unanswered while other machines of its shard were heard. */
@@ -78,8 +81,13 @@
   /** Sends the commands, which may be none, and records whether the machine answers. */
   async send(machine: Machine & ReachabilityState, commands: Command[]): Promise<CommandOutcome> {
     const { clock, laggedSince } = this.context;
+    const { commandLog } = this.collaborators;
     const sentAt = clock.now();
+    const { fencingToken } = machine;
+    commandLog.recordSent(machine, 'call', commands);
     const outcome = await this.call(machine, commands);
+    if (outcome !== 'executed' && commands.length > 0)
+      commandLog.recordNotExecuted(machine, fencingToken, outcome);
     if (outcome !== 'unknown') {
       machine.unreachableSince = Infinity;
       machine.unansweredProbes = 0;
--- a/packages/scheduler/src/coordination/workers/heartbeat-handler.ts
+++ b/packages/scheduler/src/coordination/workers/heartbeat-handler.ts
@@ -9,6 +9,7 @@
 import type { Scheduler } from '../scheduling/scheduler.ts';
 import type { ShardContext, ShardState } from '../shard-context.ts';
 import type { CommandReplyHandler } from './command-sender.ts';
+import type { CommandLog } from './command-log.ts';
 import { markFenced } from './machine-fencing.ts';
 import type { MachineTokens } from './machine-tokens.ts';
 import type { ReportedTasks, StatusSource } from './reported-tasks.ts';
@@ -25,6 +26,8 @@
   readonly reportedTasks: ReportedTasks;
   /** Chooses the commands of the answer. */
   readonly commands: WorkerCommands;
+  /** Logs the commands. */
+  readonly commandLog: CommandLog;
   /** The fencing tokens that the machines are shown. */
   readonly tokens: MachineTokens;
   /** Starts pending tasks on the machine before its heartbeat is answered. */
@@ -54,6 +57,7 @@
       machine = this.addMachine(heartbeat);
     }
     const commands = this.replyCommands(machine, heartbeat);
+    this.collaborators.commandLog.recordSent(machine, 'reply', commands);
     return { fencingToken: machine.fencingToken, commands };
   }
 
