Machine tokens: a reported last token covers no call; forget commands held back only if any

A machine whose object was made anew under the same leadership reports a token that this leader object does not know. It counts as one under which calls with launches may have been sent; for the last token of the range that cannot be, and counting it so would have raised the token beyond the range.

The next reply to a heartbeat forgets at once only if the call before had something to forget. The stop commands of a reply to an older heartbeat have a function of their own.

--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -264,7 +264,7 @@
   {
     name: 'no stop commands in the response to an old heartbeat',
     file: 'coordination/workers/heartbeat-handler.ts',
-    find: 'if (!isNew) return [...unlisted, ...reportedTasks.stopCommandsFor(heartbeat)];',
+    find: 'if (!isNew) return this.stopCommandsOnly(machine, heartbeat);',
     put: 'if (!isNew) return [];',
     detectedBy: { scenario: 'a response to a stale heartbeat' },
   },
--- a/packages/scheduler/src/coordination/workers/heartbeat-handler.ts
+++ b/packages/scheduler/src/coordination/workers/heartbeat-handler.ts
@@ -67,11 +67,7 @@
     // The reply renews the worker lease, so the renewal is recorded whatever the heartbeat contains.
     renewLease(machine, this.context.clock.now());
     commands.fenceUnansweredLaunches(machine);
-    // Every reply that renews a worker lease stops the tasks of ended jobs, those that the heartbeat lists and
-    // those that a call may have started since, even if the heartbeat is older than the last one applied. The
-    // next heartbeat may not be answered in time, or may never arrive.
-    const unlisted = commands.stopCommandsForUnansweredLaunches(machine);
-    if (!isNew) return [...unlisted, ...reportedTasks.stopCommandsFor(heartbeat)];
+    if (!isNew) return this.stopCommandsOnly(machine, heartbeat);
     scheduler.beforeHeartbeatReply(machine);
     const due = commands.commandsForReply(machine);
     return tokens.isEarlier(heartbeat.fencingToken)
@@ -87,6 +83,19 @@
     return this.apply(machine, heartbeat, 'reply') && this.collaborators.scheduler.afterCommandReply(machine);
   }
 
+  /**
+   * The stop commands for tasks of ended jobs: those that the heartbeat lists, and those that a call may have
+   * started since. Every reply that renews a worker lease contains them, even if the heartbeat is older than the
+   * last one applied: the next one may not be answered in time, or may never arrive.
+   */
+  private stopCommandsOnly(machine: Machine, heartbeat: Heartbeat): Command[] {
+    const { reportedTasks, commands } = this.collaborators;
+    return [
+      ...commands.stopCommandsForUnansweredLaunches(machine),
+      ...reportedTasks.stopCommandsFor(heartbeat),
+    ];
+  }
+
   private addMachine(heartbeat: Heartbeat): Machine {
     const { machine: id, endpoint, type, zone, spot } = heartbeat;
     const { clock } = this.context;
--- a/packages/scheduler/src/coordination/workers/machine-tokens.ts
+++ b/packages/scheduler/src/coordination/workers/machine-tokens.ts
@@ -53,10 +53,13 @@
     this.raisedCount++;
   }
 
-  /** The machine has reported this token. One that this leader does not know of may cover launches by calls. */
+  /**
+   * The machine has reported this token. Calls with launches may have been sent under one that is not known
+   * here, unless it is the last one, under which none is sent.
+   */
   observe(machine: Machine & TokenState, token: ExactInteger): void {
     if (typeof token !== 'number' || !this.isOwn(token) || token <= machine.fencingToken) return;
     machine.fencingToken = token;
-    machine.launchCallToken = token;
+    machine.launchCallToken = Math.min(token, this.tokens.last - 1);
   }
 }
--- a/packages/scheduler/src/coordination/workers/worker-commands.ts
+++ b/packages/scheduler/src/coordination/workers/worker-commands.ts
@@ -65,7 +65,7 @@
     if (stopCommands.length === 0 && !this.hasLaunchForCall(machine)) return [];
     const mayForget = this.mayForgetInCall(machine);
     const forgetCommands = mayForget ? this.forgetCommands(machine, true) : [];
-    machine.isForgetHeldBack = !mayForget;
+    machine.isForgetHeldBack = !mayForget && machine.endedAttempts.size > 0;
     this.raiseToForget(machine, forgetCommands);
     const launches = this.mayLaunchByCall(machine) ? this.launchesInCall(machine) : [];
     return [...stopCommands, ...launches, ...forgetCommands];
--- a/packages/scheduler/test/machine-tokens.test.ts
+++ b/packages/scheduler/test/machine-tokens.test.ts
@@ -149,6 +149,8 @@
     tokens.observe(machine, FIRST + 2);
     tokens.observe(machine, 1001);
     assert.equal(machine.fencingToken, FIRST + 5);
+    tokens.observe(machine, 1000);
+    assert.deepEqual([tokens.canRaise(machine), tokens.mayExecuteCopy(machine)], [false, false]);
     assert.deepEqual(
       [9, 10, 1000, 1001].map((token) => tokens.isOwn(token)),
       [false, true, true, false],
