--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -139,8 +139,8 @@
     // A shard has a new leader, which has fenced no machine yet: recorded heartbeats and commands are replayed.
     this.store.onPut = (key): void => {
       if (!key.startsWith('live/part/')) return;
-      this.network.replayHeartbeats(addresses);
-      this.network.replayCommands();
+      this.network.copies.replayHeartbeats(addresses);
+      this.network.copies.replayCommands();
     };
     this.network.onPartitionChange(() => time.after(1, () => this.notifyConnectedControllers()));
     this.network.onPartitionChange(() => this.updateUsersCutOff());
@@ -213,7 +213,7 @@
           ),
         );
       this.notifyConnectedControllers();
-      this.network.replayCommands();
+      this.network.copies.replayCommands();
     });
   }
 
@@ -310,7 +310,7 @@
     this.onPeerMessage(from.name, peer, sent);
     return this.network.sendToPeer(from, to.host, () => {
       to.controller.onMessage(from.name, sent);
-      this.network.maybeDuplicate(() => this.deliverDuplicate(from, index, sent));
+      this.network.copies.maybeDuplicate(() => this.deliverDuplicate(from, index, sent));
     });
   }
 
--- a/packages/emulator/src/fault-handlers.ts
+++ b/packages/emulator/src/fault-handlers.ts
@@ -119,28 +119,28 @@
     return cluster.network.startPartition(fault.mode, (a, b) => a.zone === one && b.zone === other);
   },
   repeats: ({ share }, { cluster: { network } }) => {
-    network.duplicateShare = share;
-    return () => (network.duplicateShare = 0);
+    network.copies.duplicateShare = share;
+    return () => (network.copies.duplicateShare = 0);
   },
   'late reports': ({ share }, { cluster: { network, deployment } }) => {
-    network.lateHeartbeats = { share, withinMs: deployment.leaseS * 1000 * LATE_HEARTBEAT_LEASES };
-    return () => (network.lateHeartbeats = { share: 0, withinMs: 0 });
+    network.copies.heartbeats = { share, withinMs: deployment.leaseS * 1000 * LATE_HEARTBEAT_LEASES };
+    return () => (network.copies.heartbeats = { share: 0, withinMs: 0 });
   },
   'kept reports': ({ share }, { cluster: { network } }) => {
-    network.recordedHeartbeatShare = share;
-    return () => (network.recordedHeartbeatShare = 0);
+    network.copies.recordedHeartbeatShare = share;
+    return () => (network.copies.recordedHeartbeatShare = 0);
   },
   'held orders': ({ share }, { cluster: { network } }) => {
     network.delayedCommandShare = share;
     return () => (network.delayedCommandShare = 0);
   },
   'repeated orders': ({ share }, { cluster: { network, deployment } }) => {
-    network.commandCopies = { share, withinMs: deployment.leaseS * 1000 * COMMAND_COPY_LEASES };
-    return () => (network.commandCopies = { share: 0, withinMs: 0 });
+    network.copies.commands = { share, withinMs: deployment.leaseS * 1000 * COMMAND_COPY_LEASES };
+    return () => (network.copies.commands = { share: 0, withinMs: 0 });
   },
   'kept orders': ({ share }, { cluster: { network } }) => {
-    network.recordedCommandShare = share;
-    return () => (network.recordedCommandShare = 0);
+    network.copies.recordedCommandShare = share;
+    return () => (network.copies.recordedCommandShare = 0);
   },
   deaf: (fault, { cluster, targets }) => {
     const deaf = targets.workerHosts(fault.share, fault.zone);
--- a/packages/emulator/src/network.ts
+++ b/packages/emulator/src/network.ts
@@ -1,6 +1,6 @@
 /**
  * The network between the hosts of a deployment (DEPLOY "Network", PROTOCOL "Delayed messages"): delays,
- * packet loss, connections, partitions and late duplicates of messages. All times are virtual, in
+ * packet loss, connections and partitions; `message-copies.ts` has late copies of messages. All times are virtual, in
  * milliseconds.
  */
 import {
@@ -14,19 +14,15 @@
   CONNECTION_LIFE_MS,
   CROSS_ZONE_MS,
   PARTITION_QUEUE_MAX,
-  COMMAND_COPY_MS,
   COMMAND_DELAY_MS,
-  COMMAND_REPLAY_MS,
   IDLE_CONNECTION_MS,
   PACKET_JITTER,
-  HEARTBEAT_REPLAY_MS,
-  LATE_HEARTBEAT_MS,
   PACKET_LOSS,
-  RECORDED_COMMANDS_MAX,
-  DUPLICATE_DELAY_MS,
   RETRANSMIT_MS,
   SAME_ZONE_MS,
 } from './constants.ts';
+import { drawBetween, drawChance } from './draws.ts';
+import { MessageCopies } from './message-copies.ts';
 import type { HostClock, VirtualTime } from './time.ts';
 
 /** A participant in the network: a controller, a worker, an outside service, or all users together. */
@@ -124,29 +120,8 @@
   /** Arrival time of the last message sent on each ordered channel. No later message may arrive before it. */
   private readonly lastDeliveryByChannel = new Map<string, number>();
   private readonly partitionListeners: (() => void)[] = [];
-  /**
-   * Share of delivered messages that are delivered a second time, to the host that serves at the address by
-   * then. Commands to workers are excluded: see `commandCopies` and `recordedCommandShare`.
-   */
-  duplicateShare = 0;
-  /**
-   * Share of heartbeats that are duplicated. The duplicate arrives at least `LATE_HEARTBEAT_MS` and less than
-   * `withinMs` milliseconds later.
-   */
-  lateHeartbeats = { share: 0, withinMs: 0 };
-  /** Share of heartbeats that are recorded, to be replayed when a shard has a new leader. */
-  recordedHeartbeatShare = 0;
-  /** The newest recorded heartbeat of each machine, by the machine's name. */
-  private readonly recordedHeartbeats = new Map<string, Request>();
-  /**
-   * Share of executed calls with commands of which a copy arrives at the same worker, at least
-   * `COMMAND_COPY_MS` and less than `withinMs` milliseconds later.
-   */
-  commandCopies = { share: 0, withinMs: 0 };
-  /** Share of executed calls with commands that are recorded, to be replayed by `replayCommands`. */
-  recordedCommandShare = 0;
-  /** The recorded calls, the oldest first; at most `RECORDED_COMMANDS_MAX`. */
-  private readonly recordedCommands: { readonly address: string; readonly request: Request }[] = [];
+  /** Copies of delivered messages that arrive later. */
+  readonly copies: MessageCopies;
   /**
    * Share of commands and answers to workers that are delayed by `COMMAND_DELAY_MS`, each independently of
    * the others.
@@ -168,7 +143,10 @@
     /** The time of the deployment. */
     readonly time: VirtualTime,
     private readonly random: Random,
-  ) {}
+  ) {
+    const deliver = (address: string, request: Request): void => this.deliverDuplicate(address, request);
+    this.copies = new MessageCopies(time, random, deliver);
+  }
 
   /** Registers the host at the address, in place of the host that served there before. */
   serve(address: string, host: Host, serve: RequestHandler): void {
@@ -225,26 +203,6 @@
     return () => void this.hangingCalls.delete(between);
   }
 
-  /**
-   * Delivers each recorded heartbeat to all addresses within `HEARTBEAT_REPLAY_MS`, and clears the record.
-   */
-  replayHeartbeats(addresses: string[]): void {
-    for (const request of this.recordedHeartbeats.values()) {
-      for (const address of addresses)
-        this.time.after(this.random.below(HEARTBEAT_REPLAY_MS), () =>
-          this.deliverDuplicate(address, request),
-        );
-    }
-    this.recordedHeartbeats.clear();
-  }
-
-  /** Delivers each recorded command to its worker within `COMMAND_REPLAY_MS`, and clears the record. */
-  replayCommands(): void {
-    for (const { address, request } of this.recordedCommands.splice(0)) {
-      this.time.after(this.random.below(COMMAND_REPLAY_MS), () => this.deliverDuplicate(address, request));
-    }
-  }
-
   /** The partition between two hosts, or null. If there are several, the most severe one. */
   partitionBetween(a: Host, b: Host): Partition | null {
     const bySeverity: PartitionMode[] = ['refuse', 'hold', 'reset', 'drop'];
@@ -279,8 +237,8 @@
     }
     for (const isLost of this.oneWayLosses) if (isLost(from, to)) return;
     const extraMs =
-      to.kind === 'worker' && this.drawChance(this.delayedCommandShare)
-        ? this.drawBetween(COMMAND_DELAY_MS)
+      to.kind === 'worker' && drawChance(this.random, this.delayedCommandShare)
+        ? drawBetween(this.random, COMMAND_DELAY_MS)
         : 0;
     const at = Math.max(
       this.time.now + extraMs + this.delay(from, to),
@@ -401,53 +359,11 @@
     this.callCounts[host.kind]++;
     const request = { method: call.method, path: call.path, body: call.body ?? '', from };
     const reply = serve(request);
-    if (call.path === '/checkin') this.copyHeartbeat(call.address, request);
-    if (call.path === '/commands' && !(reply instanceof Promise) && reply?.status === 200)
-      this.copyCommands(call.address, request);
-    if (host.kind !== 'worker') this.maybeDuplicate(() => this.deliverDuplicate(call.address, request));
+    this.copies.onDelivered(call.address, host.kind, request, reply);
     if (reply instanceof Promise) void reply.then((late) => host.clock.runWhenUnfrozen(() => answer(late)));
     else answer(reply);
   }
 
-  /**
-   * Schedules a late duplicate of the heartbeat, or records it for the next leader, as the active faults
-   * require.
-   */
-  private copyHeartbeat(address: string, request: Request): void {
-    if (this.drawChance(this.lateHeartbeats.share)) {
-      const delayMs = this.drawBetween([LATE_HEARTBEAT_MS, this.lateHeartbeats.withinMs]);
-      this.time.after(delayMs, () => this.deliverDuplicate(address, request));
-    }
-    if (this.drawChance(this.recordedHeartbeatShare)) this.recordedHeartbeats.set(request.from.name, request);
-  }
-
-  /** Schedules a late copy of an executed call with commands, or records it, as the active faults require. */
-  private copyCommands(address: string, request: Request): void {
-    if (this.drawChance(this.commandCopies.share)) {
-      const delayMs = this.drawBetween([COMMAND_COPY_MS, this.commandCopies.withinMs]);
-      this.time.after(delayMs, () => this.deliverDuplicate(address, request));
-    }
-    if (!this.drawChance(this.recordedCommandShare)) return;
-    this.recordedCommands.push({ address, request });
-    if (this.recordedCommands.length > RECORDED_COMMANDS_MAX) this.recordedCommands.shift();
-  }
-
-  /** True with the probability `share`; draws nothing for a share of 0. */
-  private drawChance(share: number): boolean {
-    return share > 0 && this.random.below(1000) < share * 1000;
-  }
-
-  /** Draws whole milliseconds in [from, to). */
-  private drawBetween([from, to]: [number, number]): number {
-    return from + this.random.below(Math.max(1, to - from));
-  }
-
-  /** Schedules a second delivery of a delivered message, with the probability `duplicateShare`. */
-  maybeDuplicate(deliver: () => void): void {
-    if (!this.drawChance(this.duplicateShare)) return;
-    this.time.after(this.random.below(DUPLICATE_DELAY_MS), deliver);
-  }
-
   /**
    * Delivers a late duplicate of a request to the host that serves at the address by now. The answer is
    * dropped.
--- a/packages/emulator/test/fault-injection-and-checkers.test.ts
+++ b/packages/emulator/test/fault-injection-and-checkers.test.ts
@@ -64,8 +64,8 @@
   it('kept reports: copies of heartbeats reach every controller when a shard has a new leader, and not before', async () => {
     const world = await startWithFaults([{ kind: 'kept reports', share: 1, atS: 0, forS: 30 }]);
     let replays = 0;
-    const replayHeartbeats = world.network.replayHeartbeats.bind(world.network);
-    world.network.replayHeartbeats = (addresses): void => {
+    const replayHeartbeats = world.network.copies.replayHeartbeats.bind(world.network.copies);
+    world.network.copies.replayHeartbeats = (addresses): void => {
       replays += addresses.length;
       replayHeartbeats(addresses);
     };
@@ -94,7 +94,7 @@
     assert.equal(seen.length, 3);
     await world.run(24);
     assert.deepEqual(seen.slice(3), ['/commands executed'], 'within one and a half worker leases');
-    assert.equal(network.commandCopies.share, 0, 'the fault has ended');
+    assert.equal(network.copies.commands.share, 0, 'the fault has ended');
   });
 
   it('kept orders: copies of executed commands reach their machines when a controller is back or a shard has a new leader', async () => {
--- a/packages/emulator/test/fault-injection.test.ts
+++ b/packages/emulator/test/fault-injection.test.ts
@@ -62,7 +62,7 @@
     assert.deepEqual(seen.sort(), ['/checkin', '/ready']);
     await world.run(40);
     assert.deepEqual(seen, ['/checkin', '/ready', '/checkin'], 'within two and a half leases');
-    assert.equal(network.lateHeartbeats.share, 0, 'the fault has ended');
+    assert.equal(network.copies.heartbeats.share, 0, 'the fault has ended');
   });
 
   it('deaf: heartbeats of the workers arrive, but the answers to them do not', async () => {
--- a/packages/emulator/test/heartbeat-scenarios.ts
+++ b/packages/emulator/test/heartbeat-scenarios.ts
@@ -79,11 +79,11 @@
     initial: [smallMachines(10)],
   });
   await cluster.begin();
-  cluster.network.lateHeartbeats = { share: 0.6, withinMs: 40_000 };
-  const duplicate = cluster.network.maybeDuplicate.bind(cluster.network);
+  cluster.network.copies.heartbeats = { share: 0.6, withinMs: 40_000 };
+  const duplicate = cluster.network.copies.maybeDuplicate.bind(cluster.network.copies);
   // Counts all delivered requests and messages between controllers, not only heartbeats.
   let deliveries = 0;
-  cluster.network.maybeDuplicate = (deliver): void => {
+  cluster.network.copies.maybeDuplicate = (deliver): void => {
     deliveries++;
     duplicate(deliver);
   };
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -336,7 +336,7 @@
   },
   'writes are applied late': (cluster) => (cluster.store.lateWriteShare = 0.7),
   'old heartbeats are duplicated': (cluster) =>
-    (cluster.network.lateHeartbeats = { share: 0.7, withinMs: 70_000 }),
+    (cluster.network.copies.heartbeats = { share: 0.7, withinMs: 70_000 }),
   'the leader restarts': (cluster) => {
     cluster.killController(cluster.leader);
     cluster.time.after(300, () => cluster.startController(cluster.leader, 50));
