Replies to heartbeats: check the leader lease once, and skip the search for unanswered calls

The leader lease was read from the clock for each attempt of a machine, on every heartbeat; it was read once before the fence. Attempts are searched for unanswered launches only if a call with a launch was sent under the machine's present token, without which there can be none. The reply's type is written once.

--- a/packages/scheduler/src/coordination/workers/worker-commands.ts
+++ b/packages/scheduler/src/coordination/workers/worker-commands.ts
@@ -44,9 +44,10 @@
    */
   commandsForReply(machine: Machine & ForgetState): Command[] {
     const commands: Command[] = [];
+    const mayLaunch = this.mayLaunch(machine);
     for (const attempt of machine.attempts.values()) {
       if (attempt.stopping) commands.push(stopCommand(attempt));
-      else if (this.mayLaunch(machine)) commands.push(...launchInReply(attempt));
+      else if (mayLaunch) commands.push(...launchInReply(attempt));
     }
     const goWithOthers = commands.length > 0 || machine.isForgetHeldBack;
     const mayForget = this.mayForgetInReply(machine);
@@ -124,6 +125,7 @@
    * reply, the call is not executed after the reply has renewed the worker lease.
    */
   fenceUnansweredLaunches(machine: Machine): void {
+    if (!this.tokens.mayExecuteCopy(machine)) return;
     const isToBeFenced = ({ callToken, stopping }: Attempt): boolean =>
       callToken === machine.fencingToken && (stopping || !machine.commandInFlight);
     if ([...machine.attempts.values()].some(isToBeFenced)) this.tokens.raise(machine);
--- a/packages/scheduler/src/protocol/http-api.ts
+++ b/packages/scheduler/src/protocol/http-api.ts
@@ -22,9 +22,8 @@
   decodeHeartbeat,
   encodeRedirect,
   encodeHeartbeatReply,
-  type Command,
-  type FencingToken,
   type Heartbeat,
+  type LeaderReply,
 } from './workers.ts';
 
 /**
@@ -33,9 +32,7 @@
  * lease.
  */
 export type HeartbeatReply =
-  | { kind: 'commands'; fencingToken: FencingToken; commands: Command[] }
-  | { kind: 'redirect'; node: string | null }
-  | { kind: 'unavailable' };
+  ({ kind: 'commands' } & LeaderReply) | { kind: 'redirect'; node: string | null } | { kind: 'unavailable' };
 
 /** The handlers of decoded requests. If a handler rejects, the answer is `userAnswers.undecided`. */
 export interface ApiHandlers {
