Forget commands: one place decides whether they are due, may travel, and raise the token

Replies and calls each decided it for themselves, and a reply held forget commands back also if there was none to hold. One function now takes what is due and whether it may travel.

--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -241,7 +241,7 @@
   {
     name: 'an attempt forgotten under the token of the call that launched it',
     file: 'coordination/workers/worker-commands.ts',
-    find: 'if (forgetCommands.length > 0 && this.tokens.mayExecuteCopy(machine)) this.tokens.raise(machine);',
+    find: 'if (this.tokens.mayExecuteCopy(machine)) this.tokens.raise(machine);',
     put: '',
     detectedBy: { size: 'copies' },
   },
--- a/packages/scheduler/src/coordination/workers/worker-commands.ts
+++ b/packages/scheduler/src/coordination/workers/worker-commands.ts
@@ -49,11 +49,8 @@
       if (attempt.stopping) commands.push(stopCommand(attempt));
       else if (mayLaunch) commands.push(...launchInReply(attempt));
     }
-    const goWithOthers = commands.length > 0 || machine.isForgetHeldBack;
-    const mayForget = this.mayForgetInReply(machine);
-    const forgetCommands = mayForget ? this.forgetCommands(machine, goWithOthers) : [];
-    machine.isForgetHeldBack = goWithOthers && !mayForget;
-    this.raiseToForget(machine, forgetCommands);
+    const isDue = commands.length > 0 || machine.isForgetHeldBack;
+    const forgetCommands = this.forgetOrHoldBack(machine, isDue, this.mayForgetInReply(machine));
     return [...commands, ...forgetCommands];
   }
 
@@ -64,10 +61,7 @@
   commandsForCall(machine: Machine & ForgetState): Command[] {
     const stopCommands = [...machine.attempts.values()].filter(({ stopping }) => stopping).map(stopCommand);
     if (stopCommands.length === 0 && !this.hasLaunchForCall(machine)) return [];
-    const mayForget = this.mayForgetInCall(machine);
-    const forgetCommands = mayForget ? this.forgetCommands(machine, true) : [];
-    machine.isForgetHeldBack = !mayForget && machine.endedAttempts.size > 0;
-    this.raiseToForget(machine, forgetCommands);
+    const forgetCommands = this.forgetOrHoldBack(machine, true, this.mayForgetInCall(machine));
     const launches = this.mayLaunchByCall(machine) ? this.launchesInCall(machine) : [];
     return [...stopCommands, ...launches, ...forgetCommands];
   }
@@ -95,9 +89,17 @@
     return isReplyDelivered && this.tokens.canRaise(machine);
   }
 
-  /** After the machine has forgotten an attempt, it must refuse every call that may have launched it. */
-  private raiseToForget(machine: Machine, forgetCommands: readonly Command[]): void {
-    if (forgetCommands.length > 0 && this.tokens.mayExecuteCopy(machine)) this.tokens.raise(machine);
+  /**
+   * The forget commands that are due, or none if they must not travel now: then the next reply carries them.
+   * Raises the machine's token, as a machine that has forgotten an attempt must refuse every call that may have
+   * launched it.
+   */
+  private forgetOrHoldBack(machine: Machine & ForgetState, isDue: boolean, mayForget: boolean): Command[] {
+    const forgetCommands = this.forgetCommands(machine, isDue);
+    machine.isForgetHeldBack = forgetCommands.length > 0 && !mayForget;
+    if (forgetCommands.length === 0 || !mayForget) return [];
+    if (this.tokens.mayExecuteCopy(machine)) this.tokens.raise(machine);
+    return forgetCommands;
   }
 
   /** Whether a call to the machine may carry launches now. */
