Unanimous read: log why it does not show that a job is open

In an outage of the key-value store a poll gets 503 if the unanimous read is undecided, and no log said why. Several causes look alike to users: nobody knows that the job was accepted, a peer does not reply or is not connected, a node may have forgotten an end, a restarted node has no read lease.

Decisions are unchanged.

--- a/packages/scheduler/src/coordination/leadership/unanimous-read.ts
+++ b/packages/scheduler/src/coordination/leadership/unanimous-read.ts
@@ -6,10 +6,16 @@
 import type { Revision } from '../../protocol/key-value.ts';
 import type { ObservationReply } from '../../protocol/peer-messages.ts';
 import type { Clock } from '../../transport/clock.ts';
+import type { Log } from '../../transport/log.ts';
 import type { PeerChannel } from '../peer-channel.ts';
 import type { NodeIdentity } from './membership.ts';
 import type { PeerReadLeases } from './peer-read-leases.ts';
-import { isUnreportedByAll, type JobObservation, type NodeObservation } from './unreported-end.ts';
+import {
+  type JobObservation,
+  type NodeObservation,
+  reasonUndecided,
+  type UndecidedReason,
+} from './unreported-end.ts';
 
 /** Knows what this node has observed of jobs. */
 export interface JobObserver {
@@ -22,6 +28,7 @@
 /** What {@link UnanimousRead} needs of its node. */
 export interface UnanimousReadContext {
   readonly clock: Clock;
+  readonly log: Log;
   /** Aborted at the end of the process. */
   readonly signal: AbortSignal;
   /** Its incarnation makes the ids of this process's requests unique. */
@@ -33,6 +40,17 @@
   readonly majority: number;
 }
 
+/** Why a unanimous read does not show that the job is unfinished for its user. */
+type ReadFailure =
+  | UndecidedReason
+  /** This node knows the job's end, or has not read its watch cache yet. */
+  | 'over'
+  | 'unread'
+  /** A peer is not connected. */
+  | 'peerNotConnected'
+  /** A peer has not replied in time. */
+  | 'peerSilent';
+
 /** One request to all peers. */
 interface Round {
   readonly id: string;
@@ -67,7 +85,8 @@
     const { kind } = jobView.observe(job);
     // All nodes must take part. The read cannot succeed if a peer is not connected, or if this node has seen
     // the job's end. Without a complete watch cache it could not show the job's state.
-    if (kind === 'over' || kind === 'unread' || peers.connected().length < peers.names.length) return false;
+    if (kind === 'over' || kind === 'unread') return this.fail(job, kind);
+    if (peers.connected().length < peers.names.length) return this.fail(job, 'peerNotConnected');
     return new Promise<boolean>((resolve) => {
       this.waitingRequests.set(job, [...(this.waitingRequests.get(job) ?? []), resolve]);
       void this.runRounds();
@@ -93,7 +112,7 @@
   }
 
   private isUnreportedAfterRound(job: string, observations: Map<string, NodeObservation[]> | null): boolean {
-    if (!observations) return false;
+    if (!observations) return this.fail(job, 'peerSilent');
     const { jobView, majority, readLeases, self } = this.context;
     const own: NodeObservation = {
       node: self.name,
@@ -101,7 +120,13 @@
       observation: jobView.observe(job),
       readLeases: readLeases.unbroken(),
     };
-    return isUnreportedByAll([own, ...(observations.get(job) ?? [])], majority);
+    const reason = reasonUndecided([own, ...(observations.get(job) ?? [])], majority);
+    return reason === null || this.fail(job, reason);
+  }
+
+  private fail(job: string, reason: ReadFailure): false {
+    this.context.log.debug({ job, reason }, 'unanimous read undecided');
+    return false;
   }
 
   /** The peers' observations of the jobs; null if not all peers have replied in time. */
--- a/packages/scheduler/src/coordination/leadership/unreported-end.ts
+++ b/packages/scheduler/src/coordination/leadership/unreported-end.ts
@@ -31,6 +31,17 @@
   readonly readLeases: readonly ReadLease[];
 }
 
+/** Why observations of a job do not show that its end is unreported. */
+export type UndecidedReason =
+  /** No node knows a revision that the job's end is later than. */
+  | 'neverSeenOpen'
+  /** A node knows the end, or may have reported one that it does not remember. */
+  | 'possiblyReported'
+  /** A majority may know the end, counting the nodes that have restarted. */
+  | 'majorityMayKnow'
+  /** No node holds an unbroken read lease of a node that has restarted. */
+  | 'noReadLease';
+
 /** The newest revision that some node shows the job's end to be later than; 0 if no node has seen it open. */
 function lastOpenRevision(nodes: readonly NodeObservation[]): ExactInteger {
   let lastOpenAt: ExactInteger = 0;
@@ -62,28 +73,34 @@
   );
 }
 
+/** Whether no node can have reported the end of the job: see `reasonUndecided`. */
+export function isUnreportedByAll(nodes: readonly NodeObservation[], majority: number): boolean {
+  return reasonUndecided(nodes, majority) === null;
+}
+
 /**
- * Whether no node can have reported the end of the job. At least one node must have seen the job open; the
- * newest of these observations counts. Nodes whose processes have read nothing yet are allowed if they cannot
- * be part of a majority that knew the end, and if another node holds an unbroken read lease of each.
+ * Why a node may have reported the end of the job; null if none can have done so. At least one node must have
+ * seen the job open; the newest of these observations counts. Nodes whose processes have read nothing yet are
+ * allowed if they cannot be part of a majority that knew the end, and if another node holds an unbroken read
+ * lease of each.
  */
-export function isUnreportedByAll(nodes: readonly NodeObservation[], majority: number): boolean {
+export function reasonUndecided(nodes: readonly NodeObservation[], majority: number): UndecidedReason | null {
   const lastOpenAt = lastOpenRevision(nodes);
-  if (lastOpenAt === 0) return false;
+  if (lastOpenAt === 0) return 'neverSeenOpen';
   const unread = nodes.filter(
     ({ observation }) => observation.kind === 'unread' && observation.forgottenEndsUpTo <= lastOpenAt,
   );
   const witnesses = nodes.filter((node) => hasReportedNone(node, lastOpenAt));
-  if (witnesses.length + unread.length < nodes.length) return false;
-  if (unread.length === 0) return true;
+  if (witnesses.length + unread.length < nodes.length) return 'possiblyReported';
+  if (unread.length === 0) return null;
   // A process of an older version may have counted as acknowledging an end that it does not know. And a node
   // that has seen the open record deleted acknowledges the end.
   const acknowledging = witnesses.filter(
     ({ incarnation, observation }) => incarnation !== null && observation.kind === 'open',
   );
-  const maxKnowing = nodes.length - acknowledging.length;
-  return (
-    maxKnowing < majority &&
-    unread.every((node) => acknowledging.some((witness) => holdsLeaseOf(witness, node, lastOpenAt)))
+  if (nodes.length - acknowledging.length >= majority) return 'majorityMayKnow';
+  const areAllLeased = unread.every((node) =>
+    acknowledging.some((witness) => holdsLeaseOf(witness, node, lastOpenAt)),
   );
+  return areAllLeased ? null : 'noReadLease';
 }
