--- a/packages/emulator/test/explorer-digests.test.ts
+++ b/packages/emulator/test/explorer-digests.test.ts
@@ -13,28 +13,28 @@
     'small',
     [
       '0e1c373ee032e8f1f35e0c06dff46ca029054f47c25905e10b319ed8a0b1c83e',
-      '76df14ac671da357132d56e043815536af4390322d5a677e6fc957c83079e94a',
+      '4deb95582963eee65958c0631038ad39c1103828bbcee2d430a596b00869c955',
     ],
   ],
   [
     'storm',
     [
-      '00b028417c36d2b6eb799869eafa7fc3fe95edc7b6b0927a290e546bb8181e55',
-      '5d8b2cc17c4c8ed6ff3a2299ec1d9bb3b239ef814234f60b01197b06a15f12cd',
+      '2c445a6113c0eed8db6075307cf323d709f1f61705a7a0aabd3e5c4f078c32f1',
+      '8c75bc6e697dbef518677ea7029ae7cc4ab3a825639e5784749accd41d88b765',
     ],
   ],
   [
     'strangers',
     [
-      'b778fae69bab98e4643b6c53bf65e53d3683b62a0746ef1ccda144b1779954dd',
-      '089c0fd14b5f0c54efaf765a5685ccd5578ac30626a4042797eaebba24b8cde8',
+      'f75d02de8148467d15fef0c5328441a14ba4763126c5f7c9a10efe469caaf78f',
+      'd6a764a3c11ee96779cca9da8597e825dcfa6c6d34f0bb4ca06d03c621f2aafc',
     ],
   ],
   [
     'meetings',
     [
-      'c2e23c7cee2ff99aee1ec0cdb08304e383229b0fa2cd9f32c182146335d7bb4d',
-      '0ea9a7ca0bb00d71512ad2f57415e59328203d33f20ccf9b913b39adb39428f9',
+      'b06bda1ad239d5c8a4bf3f285ad25427f6839cb4da1a507c9de28571bc5b1f2e',
+      '3de71189f096f78096ddfc7481909ec138dadfcc2a4448a2388e2f3a2ae82d0b',
     ],
   ],
 ];
@@ -56,7 +56,7 @@
     );
     assert.equal(
       runDigest(digests.flatMap(([, each]) => each)),
-      '1c25e222f927ee5a8f102ddc5236613e3ded01ef2f9ea435d89e7fc43932da46',
+      'bd738e21ad5261d55e795e346cb138852b909430a711ca7a0f19910db9be73f1',
     );
   });
 });
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -1,5 +1,6 @@
 import type { Violation } from '../src/invariant-checker.ts';
 import { readCommands } from '../src/protocol/wire.ts';
+import { acceptanceScenarios } from './acceptance-scenarios.ts';
 import { commandCopyScenarios } from './command-copy-scenarios.ts';
 import { idleWaitScenarios } from './idle-wait-scenarios.ts';
 import { lateReportScenarios } from './late-report-scenarios.ts';
@@ -375,6 +376,7 @@
   ...machineFaultScenarios,
   ...heartbeatScenarios,
   ...userRequestScenarios,
+  ...acceptanceScenarios,
   ...storeOutageScenarios,
   ...lateReportScenarios,
   ...commandCopyScenarios,
--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -322,7 +322,7 @@
   {
     name: 'a unanimous read that ignores that a majority may have known the end',
     file: 'coordination/leadership/unreported-end.ts',
-    find: 'maxKnowing < majority &&',
+    find: "if (nodes.length - unaware.length >= majority) return 'majorityMayKnow';",
     put: '',
     detectedBy: { scenario: 'a cancellation told by a majority whose nodes restart in a store outage' },
   },
@@ -375,10 +375,24 @@
   {
     name: 'a unanimous read without the revisions after which deleted jobs ended',
     file: 'coordination/job-view.ts',
-    find: 'endedAfter: deletedJobs.endedAfter(job)',
+    find: 'endedAfter: lastOpenRevisions.endedAfter(job)',
     put: 'endedAfter: 0',
     detectedBy: { scenario: 'an unanswered cancellation, then a store outage for all nodes' },
   },
+  {
+    name: 'an acceptance that peers are not told',
+    file: 'coordination/node-components.ts',
+    find: "this.peers.broadcast({ kind: 'jobAccepted', jobId, revision });",
+    put: '',
+    detectedBy: { scenario: 'a job accepted by a node that restarts within a store outage' },
+  },
+  {
+    name: 'an acceptance that is not remembered when peers tell it in a unanimous read',
+    file: 'coordination/peer-message-dispatcher.ts',
+    find: 'for (const [jobId, revision] of reply.endedAfter) jobView.recordOpen(jobId, revision);',
+    put: '',
+    detectedBy: { scenario: 'an acceptance that no peer is told, then a store outage' },
+  },
   {
     name: 'a record page written without a version precondition',
     file: 'coordination/reconciliation/shard-records.ts',
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -17,7 +17,7 @@
 const polledJobs = ['j-2', 'j-3', 'j-4'];
 
 /** Three controllers in one zone, unless the deployment says otherwise. */
-async function startCluster(deployment: Partial<Deployment> = {}): Promise<ScenarioCluster> {
+export async function startCluster(deployment: Partial<Deployment> = {}): Promise<ScenarioCluster> {
   const cluster = new ScenarioCluster({
     zones: ['a'],
     nodes: ['a', 'a', 'a'],
--- a/packages/emulator/test/wire-characterization.test.ts
+++ b/packages/emulator/test/wire-characterization.test.ts
@@ -17,7 +17,17 @@
 const expected: Record<string, WireRecord> = recorded;
 const traceDir = process.env['WIRE_TRACE_DIR'];
 
-const messageKinds = ['part', 'handover', 'beat', 'cancelled', 'vouch', 'vouched', 'ask', 'answer'];
+const messageKinds = [
+  'part',
+  'handover',
+  'beat',
+  'accepted',
+  'cancelled',
+  'vouch',
+  'vouched',
+  'ask',
+  'answer',
+];
 const workerMessageFragments = ['"launch', '"halt', '"forget', '"riferisce_a', '"preavviso_s":'];
 const statuses = [
   ...['state 200', 'state 404', 'state 409', 'state 503'],
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -424,8 +424,11 @@
 export const RECENT_ENDS_REVISIONS = 2000;
 /** Ends. Maximum of these that a process remembers: as many as a reply to a peer can list. */
 export const RECENT_ENDS_MAX = END_ACKNOWLEDGEMENT_BATCH;
-/** Jobs whose deleted open records are remembered: several minutes of ends in a large deployment. */
-export const DELETED_JOBS_REMEMBERED = 5000;
+/**
+ * Jobs that are not open in the watch cache and of which a revision is remembered at which they were open:
+ * several minutes of acceptances and ends in a large deployment.
+ */
+export const LAST_OPEN_REVISIONS_REMEMBERED = 5000;
 /**
  * Milliseconds without proof of contact after which peers are asked before the key-value store, and no tasks
  * migrate.
--- a/packages/scheduler/src/coordination/job-view.ts
+++ b/packages/scheduler/src/coordination/job-view.ts
@@ -1,6 +1,6 @@
 /** What this node knows of jobs without a read of the key-value store. */
 import type { Revision } from '../protocol/key-value.ts';
-import type { DeletedJobs } from '../storage/deleted-jobs.ts';
+import type { LastOpenRevisions } from '../storage/last-open-revisions.ts';
 import type { OpenJobs } from '../storage/open-jobs.ts';
 import type { WatchCache } from '../storage/watch-cache.ts';
 import type { JobRequests } from './jobs/job-requests.ts';
@@ -15,7 +15,7 @@
   readonly dispatcher: WatchDispatcher;
   readonly jobRequests: JobRequests;
   readonly openJobs: OpenJobs;
-  readonly deletedJobs: DeletedJobs;
+  readonly lastOpenRevisions: LastOpenRevisions;
   readonly recentEnds: RecentEndsReader;
   readonly shardLoads: ShardLoads;
   readonly watchCache: WatchCache;
@@ -27,14 +27,24 @@
 
   /** What this node knows of the job. */
   observe(job: string): JobObservation {
-    const { deletedJobs, dispatcher, jobRequests, openJobs, watchCache } = this.context;
+    const { dispatcher, jobRequests, lastOpenRevisions, openJobs, watchCache } = this.context;
     if (jobRequests.isFinished(job) || openJobs.isClosed(job)) return { kind: 'over' };
     const { forgottenEndsUpTo } = this;
     if (!dispatcher.isLoaded) return { kind: 'unread', forgottenEndsUpTo };
     const asOf = watchCache.currentRevision;
     const open = openJobs.jobs.get(job);
     if (open) return { kind: 'open', version: open.version, endedAfter: asOf };
-    return { kind: 'none', asOf, endedAfter: deletedJobs.endedAfter(job), forgottenEndsUpTo };
+    return { kind: 'none', asOf, endedAfter: lastOpenRevisions.endedAfter(job), forgottenEndsUpTo };
+  }
+
+  /**
+   * The job was open at the revision, as this node or a peer has written or read. The watch cache may not show
+   * it before the key-value store fails, and then has no later revision.
+   */
+  recordOpen(job: string, revision: Revision): void {
+    const { jobRequests, lastOpenRevisions, openJobs } = this.context;
+    if (openJobs.jobs.has(job) || jobRequests.isFinished(job)) return;
+    lastOpenRevisions.add(job, revision);
   }
 
   /**
--- a/packages/scheduler/src/coordination/jobs/job-requests.ts
+++ b/packages/scheduler/src/coordination/jobs/job-requests.ts
@@ -50,6 +50,10 @@
   readonly isUnfinishedForUsers: (jobId: string) => Promise<boolean>;
   /** Called when this node has committed the end of a job, or has read a final record that it did not know. */
   readonly onEndLearned: (jobId: string, record: FinalRecord) => void;
+  /** Called when this node has read the job's open record, at this version. */
+  readonly onOpenRead: (jobId: string, version: Revision) => void;
+  /** Called before a user is told that the job is accepted; it was open at the revision. */
+  readonly onAccepted: (jobId: string, revision: Revision) => void;
   /** Forwards a request to the peers, in case one reaches the key-value store; null if no peer answers it. */
   readonly forward: (operation: UserOperation, body: JobSpec | string) => Promise<UserAnswer | null>;
 }
--- a/packages/scheduler/src/coordination/jobs/job-state-reader.ts
+++ b/packages/scheduler/src/coordination/jobs/job-state-reader.ts
@@ -1,6 +1,6 @@
 /** Reads the state of a job for its users, from the key-value store or from the confirmed watch cache. */
 import { POLL_CONFIRM_MS } from '../../constants.ts';
-import { type Precondition } from '../../protocol/key-value.ts';
+import type { Precondition, Revision } from '../../protocol/key-value.ts';
 import {
   encodeView,
   type JobSpec,
@@ -41,6 +41,8 @@
   readonly store: KeyValueStore;
   readonly watchCache: WatchCache;
   readonly finishedJobs: FinishedJobs;
+  /** Called with the version of each open record that has been read. */
+  readonly onOpenRead: (jobId: string, version: Revision) => void;
   /** Called with a final record that has been read for a user and that this node did not know. */
   readonly onEndLearned: (jobId: string, record: FinalRecord) => void;
 }
@@ -76,6 +78,7 @@
   async read(jobId: string): Promise<JobState | null> {
     const entry = await this.context.store.get(openJobKey(jobId), 'user');
     if (!entry) return this.readFinished(jobId);
+    this.context.onOpenRead(jobId, entry.version);
     const { spec } = decodeOpenJob(entry.value);
     return { status: 'open', tasks: spec.tasks, precondition: { key: entry.key, version: entry.version } };
   }
--- a/packages/scheduler/src/coordination/jobs/job-submission.ts
+++ b/packages/scheduler/src/coordination/jobs/job-submission.ts
@@ -1,6 +1,6 @@
 /** Submission of a job: validates it, assigns its tasks to shards, writes its open record. */
 import type { MachineType } from '../../protocol/cloud.ts';
-import type { CompareAndSwapResult } from '../../protocol/key-value.ts';
+import type { CompareAndSwapResult, Revision } from '../../protocol/key-value.ts';
 import { encodeState, type JobSpec, type UserAnswer, userAnswers } from '../../protocol/users.ts';
 import type { Settings } from '../../settings.ts';
 import type { KeyValueStore } from '../../storage/key-value-store.ts';
@@ -10,7 +10,7 @@
 import type { Random } from '../../transport/random.ts';
 import type { ShardMap } from '../leadership/shard-map.ts';
 import type { ShardLoads } from '../scheduling/shard-loads.ts';
-import type { JobStateReader } from './job-state-reader.ts';
+import type { JobState, JobStateReader } from './job-state-reader.ts';
 import { allowedZones, rejectionReason } from './job-validation.ts';
 import { assignToShards } from './shard-assignment.ts';
 
@@ -25,6 +25,8 @@
   /** The cloud's machine types; null until they have been read. */
   readonly catalog: () => readonly MachineType[] | null;
   readonly stateReader: JobStateReader;
+  /** Called before a user is told that the job is accepted; it was open at the revision. */
+  readonly onAccepted: (jobId: string, revision: Revision) => void;
 }
 
 /**
@@ -45,18 +47,28 @@
     if (!catalog || rejection !== null) {
       // A job that was accepted before stays accepted, even if the current catalog would reject it.
       const existing = await stateReader.read(spec.id);
-      if (existing) return stateReader.answer(spec.id, existing);
+      if (existing) return this.answerExisting(spec.id, existing);
       return rejection === null ? userAnswers.undecided : { status: 422, body: { error: rejection } };
     }
     try {
       const result = await this.writeOpenRecord(spec, zones);
-      if (result.kind === 'committed') return { status: 201, body: encodeState(spec.id, 'queued') };
+      if (result.kind === 'committed') {
+        this.context.onAccepted(spec.id, result.revision);
+        return { status: 201, body: encodeState(spec.id, 'queued') };
+      }
     } catch (error: unknown) {
       // It is unknown whether the write was committed, so the answer depends on the read below.
       if (!(error instanceof NoAnswer)) throw error;
     }
     const existing = await stateReader.read(spec.id);
-    return existing ? stateReader.answer(spec.id, existing) : userAnswers.undecided;
+    return existing ? this.answerExisting(spec.id, existing) : userAnswers.undecided;
+  }
+
+  /** The answer to the submission of a job that was accepted before, by this node or another. */
+  private answerExisting(jobId: string, state: JobState): UserAnswer {
+    const { onAccepted, stateReader } = this.context;
+    if (state.status === 'open') onAccepted(jobId, state.precondition.version);
+    return stateReader.answer(jobId, state);
   }
 
   private writeOpenRecord(spec: JobSpec, zones: ReadonlySet<string>): Promise<CompareAndSwapResult> {
--- a/packages/scheduler/src/coordination/leadership/unreported-end.ts
+++ b/packages/scheduler/src/coordination/leadership/unreported-end.ts
@@ -11,7 +11,8 @@
  * does not know how the job ended. `unread`: its watch cache is not complete, and the node does not know the
  * job's end.
  *
- * `endedAfter`: a revision that the job's end is later than; 0 if the node has never seen the job open.
+ * `endedAfter`: a revision that the job's end is later than; 0 if the node does not know the job to have been
+ * open.
  * `forgottenEndsUpTo`: ends that the node may have reported to users, and that its process does not remember,
  * have at most this revision. For `unread`, ends that earlier processes of the node have reported do not count.
  */
@@ -42,7 +43,7 @@
   /** No node holds an unbroken read lease of a node that has restarted. */
   | 'noReadLease';
 
-/** The newest revision that some node shows the job's end to be later than; 0 if no node has seen it open. */
+/** The newest revision that some node knows the job's end to be later than; 0 if none is known. */
 function lastOpenRevision(nodes: readonly NodeObservation[]): ExactInteger {
   let lastOpenAt: ExactInteger = 0;
   for (const { observation } of nodes) {
@@ -63,6 +64,19 @@
   );
 }
 
+/**
+ * Whether no process of the witness has acknowledged an end later than `lastOpenAt`. A process of an older
+ * version may have acknowledged an end that it does not know. Any other acknowledges an end once its watch cache
+ * shows the open record deleted, so the cache must not be later than `lastOpenAt`.
+ */
+function hasAcknowledgedNone(
+  { incarnation, observation }: NodeObservation,
+  lastOpenAt: ExactInteger,
+): boolean {
+  if (incarnation === null) return false;
+  return observation.kind === 'open' || (observation.kind === 'none' && observation.asOf <= lastOpenAt);
+}
+
 /** Whether the node's leases show that no earlier process of `other` reported the end without a majority. */
 function holdsLeaseOf(node: NodeObservation, other: NodeObservation, lastOpenAt: ExactInteger): boolean {
   return node.readLeases.some(
@@ -93,14 +107,10 @@
   const witnesses = nodes.filter((node) => hasReportedNone(node, lastOpenAt));
   if (witnesses.length + unread.length < nodes.length) return 'possiblyReported';
   if (unread.length === 0) return null;
-  // A process of an older version may have counted as acknowledging an end that it does not know. And a node
-  // that has seen the open record deleted acknowledges the end.
-  const acknowledging = witnesses.filter(
-    ({ incarnation, observation }) => incarnation !== null && observation.kind === 'open',
-  );
-  if (nodes.length - acknowledging.length >= majority) return 'majorityMayKnow';
+  const unaware = witnesses.filter((node) => hasAcknowledgedNone(node, lastOpenAt));
+  if (nodes.length - unaware.length >= majority) return 'majorityMayKnow';
   const areAllLeased = unread.every((node) =>
-    acknowledging.some((witness) => holdsLeaseOf(witness, node, lastOpenAt)),
+    unaware.some((witness) => holdsLeaseOf(witness, node, lastOpenAt)),
   );
   return areAllLeased ? null : 'noReadLease';
 }
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -2,11 +2,11 @@
 import { CLOUD_DEADLINE_MS, STORE_DEADLINE_MS } from '../constants.ts';
 import { LeaderLease, leaderLeaseMs } from '../leader-lease.ts';
 import { cloudClient } from '../protocol/cloud.ts';
-import { keyValueApi } from '../protocol/key-value.ts';
+import { keyValueApi, type Revision } from '../protocol/key-value.ts';
 import { CachedPages } from '../storage/cached-pages.ts';
 import { KeyValueStore } from '../storage/key-value-store.ts';
 import { WatchCache } from '../storage/watch-cache.ts';
-import { DeletedJobs } from '../storage/deleted-jobs.ts';
+import { LastOpenRevisions } from '../storage/last-open-revisions.ts';
 import { OpenJobs } from '../storage/open-jobs.ts';
 import type { MachinesRecord, ProgressRecord } from '../storage/records.ts';
 import type { Settings } from '../settings.ts';
@@ -79,8 +79,8 @@
   readonly quotas: Quotas;
   readonly shardLoads: ShardLoads;
   readonly openJobs = new OpenJobs();
-  /** Jobs whose open records have been deleted lately. */
-  readonly deletedJobs = new DeletedJobs();
+  /** Revisions at which jobs were open that the watch cache does not have, or not any more. */
+  readonly lastOpenRevisions = new LastOpenRevisions();
   /** The shards' machine records, as the watch cache has them. */
   readonly machinePages = new CachedPages<MachinesRecord>();
   /** The shards' progress records, as the watch cache has them. */
@@ -239,9 +239,20 @@
       isUnfinishedForUsers: (job) => unanimousRead.isUnfinishedForUsers(job),
       forward: (operation, body) => forwarding.forward(operation, body),
       onEndLearned: (job, record) => this.announceEnd(job, record),
+      onOpenRead: (job, revision) => jobView.recordOpen(job, revision),
+      onAccepted: (job, revision) => this.announceAcceptance(job, revision),
     });
   }
 
+  /**
+   * A user is about to be told that the job is accepted. Remembers it, and notifies all peers: the key-value
+   * store may fail before any watch shows the job, and this process may end.
+   */
+  private announceAcceptance(jobId: string, revision: Revision): void {
+    this.jobView.recordOpen(jobId, revision);
+    this.peers.broadcast({ kind: 'jobAccepted', jobId, revision });
+  }
+
   private createFinalRecordReader(): FinalRecordReader {
     const { clock, jobRequests, log } = this;
     return new FinalRecordReader({
--- a/packages/scheduler/src/coordination/peer-message-dispatcher.ts
+++ b/packages/scheduler/src/coordination/peer-message-dispatcher.ts
@@ -6,6 +6,7 @@
 import type { FailingJobs } from './jobs/failing-jobs.ts';
 import type { EndReporting } from './jobs/end-reporting.ts';
 import type { JobRequests } from './jobs/job-requests.ts';
+import type { JobView } from './job-view.ts';
 import type { LedShards } from './leadership/led-shards.ts';
 import type { ObservationResponder } from './leadership/observation-responder.ts';
 import type { PeerReadLeases } from './leadership/peer-read-leases.ts';
@@ -27,6 +28,7 @@
   readonly readLeases: PeerReadLeases;
   readonly endReporting: EndReporting;
   readonly jobRequests: JobRequests;
+  readonly jobView: JobView;
   readonly forwarding: RequestForwarding;
 }
 
@@ -63,6 +65,8 @@
         );
       case 'jobDone':
         return this.onEnd(from, { ...message, status: 'done' });
+      case 'jobAccepted':
+        return this.context.jobView.recordOpen(message.jobId, message.revision);
       case 'observationRequest':
         return observationResponder.onRequest(from, message);
       case 'observationReply':
@@ -82,10 +86,14 @@
     if (status === 'cancelled') dispatcher.onJobCancelled(jobId);
   }
 
-  /** The ends in the reply are recorded first: the read lease that it grants depends on them. */
+  /**
+   * The ends in the reply are recorded first: the read lease that it grants depends on them. What the peer knows
+   * of open jobs is remembered, as its process may end.
+   */
   private onObservationReply(from: string, reply: ObservationReply): void {
-    const { endReporting, readLeases, unanimousRead } = this.context;
+    const { endReporting, jobView, readLeases, unanimousRead } = this.context;
     for (const end of reply.ends) this.onEnd(from, end);
+    for (const [jobId, revision] of reply.endedAfter) jobView.recordOpen(jobId, revision);
     readLeases.onReply(from, reply);
     endReporting.onReply(from, reply);
     unanimousRead.onReply(from, reply);
--- a/packages/scheduler/src/coordination/watch-dispatcher.ts
+++ b/packages/scheduler/src/coordination/watch-dispatcher.ts
@@ -1,6 +1,6 @@
 /** Passes changes of the records under `live/` from the watch cache to the components that use them. */
 import type { CachedPages } from '../storage/cached-pages.ts';
-import type { DeletedJobs } from '../storage/deleted-jobs.ts';
+import type { LastOpenRevisions } from '../storage/last-open-revisions.ts';
 import type { OpenJob, OpenJobs } from '../storage/open-jobs.ts';
 import type { LiveRecord, MachinesRecord, OpenJobRecord, ProgressRecord } from '../storage/records.ts';
 import type { WatchCache } from '../storage/watch-cache.ts';
@@ -33,7 +33,7 @@
   readonly machinePages: CachedPages<MachinesRecord>;
   readonly progressPages: CachedPages<ProgressRecord>;
   readonly openJobs: OpenJobs;
-  readonly deletedJobs: DeletedJobs;
+  readonly lastOpenRevisions: LastOpenRevisions;
   readonly watchCache: WatchCache;
   readonly jobCompletion: JobCompletion;
   readonly finalRecords: FinalRecordReader;
@@ -99,7 +99,7 @@
         return;
       case 'job':
         if (change.record) return this.onOpenJob(change.id, change.record, version);
-        this.context.deletedJobs.add(change.id, this.context.watchCache.currentRevision);
+        this.context.lastOpenRevisions.add(change.id, this.context.watchCache.currentRevision);
         this.context.finalRecords.onDeleted(change.id);
         return this.onJobOver(change.id, openJobs.remove(change.id));
       case 'quota':
@@ -118,7 +118,8 @@
   }
 
   private onOpenJob(id: string, record: OpenJobRecord, version: ExactInteger): void {
-    const { clock, ledShards, openJobs } = this.context;
+    const { clock, lastOpenRevisions, ledShards, openJobs } = this.context;
+    lastOpenRevisions.delete(id);
     const job = openJobs.set(id, record, version, clock.now());
     if (!job) return; // the job is known to be over
     for (const shard of ledShards.shardLeaders()) {
--- a/packages/scheduler/src/protocol/peer-message-codec.ts
+++ b/packages/scheduler/src/protocol/peer-message-codec.ts
@@ -58,6 +58,7 @@
     revision: z.optional(exactInteger),
   }),
   z.object({ kind: z.literal('done'), job: z.string(), revision: exactInteger, tasks: z.number() }),
+  z.object({ kind: z.literal('accepted'), job: z.string(), revision: exactInteger }),
   z.object({ kind: z.literal('vouch'), id: z.string(), jobs: z.array(z.string()) }),
   z.object({
     kind: z.literal('vouched'),
@@ -115,6 +116,8 @@
       };
     case 'jobDone':
       return { kind: 'done', job: message.jobId, revision: message.revision, tasks: message.tasks };
+    case 'jobAccepted':
+      return { kind: 'accepted', job: message.jobId, revision: message.revision };
     case 'observationRequest':
       return { kind: 'vouch', id: message.requestId, jobs: message.jobIds };
     case 'observationReply':
@@ -208,6 +211,8 @@
       return { kind: 'jobsCancelled', jobIds: wire.jobs, revision: wire.revision ?? null };
     case 'done':
       return { kind: 'jobDone', jobId: wire.job, revision: wire.revision, tasks: wire.tasks };
+    case 'accepted':
+      return { kind: 'jobAccepted', jobId: wire.job, revision: wire.revision };
     case 'vouch':
       return { kind: 'observationRequest', requestId: wire.id, jobIds: wire.jobs };
     case 'vouched':
--- a/packages/scheduler/src/protocol/peer-messages.ts
+++ b/packages/scheduler/src/protocol/peer-messages.ts
@@ -100,6 +100,17 @@
   tasks: number;
 }
 
+/**
+ * A job whose acceptance the sender has committed or read. It was open at the revision, whatever has happened
+ * since, so a late message is still true.
+ */
+export interface JobAccepted {
+  kind: 'jobAccepted';
+  jobId: JobId;
+  /** A version of the open record. */
+  revision: Revision;
+}
+
 /** Asks for the receiver's observation of these jobs, for a unanimous read. */
 export interface ObservationRequest {
   kind: 'observationRequest';
@@ -145,7 +156,10 @@
    * reply of an older version.
    */
   unread: JobId[];
-  /** Jobs in `open` or `none` that the sender has seen open, each with a revision that its end is later than. */
+  /**
+   * Jobs in `open` or `none` that the sender knows to have been open, each with a revision that its end is
+   * later than.
+   */
   endedAfter: [job: JobId, revision: Revision][];
   /**
    * Ends that the sender's node may have reported to users, and that the sender does not remember, have at
@@ -193,6 +207,7 @@
   | Keepalive
   | JobsCancelled
   | JobDone
+  | JobAccepted
   | ObservationRequest
   | ObservationReply
   | ForwardedRequest
--- a/packages/scheduler/src/storage/last-open-revisions.ts
+++ b/packages/scheduler/src/storage/last-open-revisions.ts
@@ -1,24 +1,33 @@
-/** Jobs whose open records have been deleted while this process watched them. */
-import { DELETED_JOBS_REMEMBERED } from '../constants.ts';
+/** Revisions at which jobs were open, for jobs that are not open in the watch cache. */
+import { LAST_OPEN_REVISIONS_REMEMBERED } from '../constants.ts';
 import type { Revision } from '../protocol/key-value.ts';
 import type { JobId } from '../protocol/users.ts';
 
 /**
- * For each of these jobs, a revision after which it ended. The watch shows that an open record is deleted, but
- * not the final record that replaces it. The oldest entries are evicted first.
+ * For each of these jobs, the latest revision at which it is known to have been open, so that its end, if it
+ * has ended, has a later one. The watch cache does not have the job yet, as it was accepted a moment ago, or not
+ * any more: the watch shows that an open record is deleted, but not the final record that replaces it. Beyond
+ * `LAST_OPEN_REVISIONS_REMEMBERED` jobs, the one that was added least recently is evicted.
  */
-export class DeletedJobs {
+export class LastOpenRevisions {
   private readonly revisions = new Map<JobId, Revision>();
 
-  /** The job's open record has been deleted later than the revision. */
+  /** The job was open at the revision. */
   add(id: JobId, revision: Revision): void {
-    this.revisions.set(id, revision);
-    if (this.revisions.size <= DELETED_JOBS_REMEMBERED) return;
+    const known = this.endedAfter(id);
+    this.revisions.delete(id);
+    this.revisions.set(id, known > revision ? known : revision);
+    if (this.revisions.size <= LAST_OPEN_REVISIONS_REMEMBERED) return;
     const [oldest] = this.revisions.keys();
     if (oldest !== undefined) this.revisions.delete(oldest);
   }
 
-  /** A revision after which the job ended; 0 if this process has not seen its open record deleted. */
+  /** The job is open in the watch cache, which knows a later revision. */
+  delete(id: JobId): void {
+    this.revisions.delete(id);
+  }
+
+  /** A revision after which the job ended, or will end; 0 if none is known. */
   endedAfter(id: JobId): Revision {
     return this.revisions.get(id) ?? 0;
   }
--- a/packages/scheduler/test/reported-ends.test.ts
+++ b/packages/scheduler/test/reported-ends.test.ts
@@ -195,6 +195,13 @@
     endedAfter: 0,
     forgottenEndsUpTo,
   });
+  /** The node knows that the job was accepted at revision 9, and its watch cache is at `asOf`. */
+  const accepted = (asOf: number): JobObservation => ({
+    kind: 'none',
+    asOf,
+    endedAfter: 9,
+    forgottenEndsUpTo: 1,
+  });
   const leaseOfC: ReadLease = { node: 'c', incarnation: 'c1', fromRevision: 9 };
 
   function observe(observations: JobObservation[], readLeases: ReadLease[] = [leaseOfC]): NodeObservation[] {
@@ -231,6 +238,18 @@
       false,
     ],
     ['unless a majority may have seen the open record deleted', observe([open, none(9), unread]), false],
+    ['if one knows that the job was accepted', observe([none(1), accepted(8), none(1)]), true],
+    ['unless another may have reported an end since', observe([none(10), accepted(8), none(1)]), false],
+    [
+      'if no cache has reached the acceptance, and a node restarted',
+      observe([accepted(8), accepted(9), unread]),
+      true,
+    ],
+    [
+      'unless a cache may have shown the end to a majority',
+      observe([accepted(8), accepted(10), unread]),
+      false,
+    ],
     ['unless a majority may have known it', observe([open, none(10), unread]), false],
     [
       'unless a majority of restarted nodes may have known it',
--- a/packages/scheduler/test/support/wire-samples.ts
+++ b/packages/scheduler/test/support/wire-samples.ts
@@ -340,6 +340,9 @@
   'cancelled, malformed': { kind: 'cancelled', jobs: 'j-1' },
   done: { kind: 'done', job: 'j-1', revision: 83, tasks: 20 },
   'done without a revision': { kind: 'done', job: 'j-1', tasks: 20 },
+  accepted: { kind: 'accepted', job: 'j-1', revision: 83 },
+  'accepted at a revision above 2^53': { kind: 'accepted', job: 'j-1', revision: 18446744073709551615n },
+  'accepted without a revision': { kind: 'accepted', job: 'j-1' },
   vouch: { kind: 'vouch', id: 'f00d/1', jobs: ['j-1'] },
   vouched: { kind: 'vouched', id: 'f00d/1', open: [['j-1', 5]], over: ['j-2'], none: [['j-3', 9]] },
   'vouched with versions above 2^53': {
