Job announcements in a module of their own, out of the wiring of a controller

JobAnnouncements now does both: it records what this node has committed or read of a job, and notifies the peers.

--- a/packages/emulator/test/mutants.ts
+++ b/packages/emulator/test/mutants.ts
@@ -381,8 +381,8 @@
   },
   {
     name: 'an acceptance that peers are not told',
-    file: 'coordination/node-components.ts',
-    find: "this.peers.broadcast({ kind: 'jobAccepted', jobId, revision });",
+    file: 'coordination/jobs/job-announcements.ts',
+    find: "peers.broadcast({ kind: 'jobAccepted', jobId, revision });",
     put: '',
     detectedBy: { scenario: 'a job accepted by a node that restarts within a store outage' },
   },
--- a/packages/scheduler/src/coordination/node-components.ts
+++ b/packages/scheduler/src/coordination/node-components.ts
@@ -2,7 +2,7 @@
 import { CLOUD_DEADLINE_MS, STORE_DEADLINE_MS } from '../constants.ts';
 import { LeaderLease, leaderLeaseMs } from '../leader-lease.ts';
 import { cloudClient } from '../protocol/cloud.ts';
-import { keyValueApi, type Revision } from '../protocol/key-value.ts';
+import { keyValueApi } from '../protocol/key-value.ts';
 import { CachedPages } from '../storage/cached-pages.ts';
 import { KeyValueStore } from '../storage/key-value-store.ts';
 import { WatchCache } from '../storage/watch-cache.ts';
@@ -20,11 +20,11 @@
 import type { ControllerDependencies } from './controller-dependencies.ts';
 import { JobView } from './job-view.ts';
 import { EndAcknowledgements } from './jobs/end-acknowledgements.ts';
-import { notifyOfEnd } from './jobs/end-notice.ts';
 import { EndReporting } from './jobs/end-reporting.ts';
 import { FailingJobs } from './jobs/failing-jobs.ts';
-import { type FinalRecord, FinalRecordReader } from './jobs/final-record-reader.ts';
+import { FinalRecordReader } from './jobs/final-record-reader.ts';
 import { FinishedJobs } from './jobs/finished-jobs.ts';
+import { JobAnnouncements } from './jobs/job-announcements.ts';
 import { JobCompletion } from './jobs/job-completion.ts';
 import { JobRequests } from './jobs/job-requests.ts';
 import { RecentEndsReader } from './jobs/recent-ends-reader.ts';
@@ -115,6 +115,7 @@
   readonly finalRecords: FinalRecordReader;
   readonly recentEnds: RecentEndsReader;
   readonly jobView = new JobView(this);
+  readonly jobAnnouncements = new JobAnnouncements(this);
   readonly readLeases = new PeerReadLeases(this);
   readonly observationResponder = new ObservationResponder(this);
   readonly endReporting = new EndReporting(this);
@@ -220,8 +221,9 @@
   }
 
   private createJobRequests(): JobRequests {
-    const { catalog, clock, endReporting, finishedJobs, forwarding, jobView, openJobs } = this;
-    const { random, settings, shardLoads, shardMap, store, unanimousRead, wallClock, watchCache } = this;
+    const { catalog, clock, endReporting, finishedJobs, forwarding, jobAnnouncements, jobView } = this;
+    const { openJobs, random, settings, shardLoads, shardMap, store, unanimousRead } = this;
+    const { wallClock, watchCache } = this;
     return new JobRequests({
       settings,
       clock,
@@ -238,58 +240,37 @@
       isReportable: (job) => endReporting.isReportable(job),
       isUnfinishedForUsers: (job) => unanimousRead.isUnfinishedForUsers(job),
       forward: (operation, body) => forwarding.forward(operation, body),
-      onEndLearned: (job, record) => this.announceEnd(job, record),
+      onEndLearned: (job, record) => jobAnnouncements.announceEnd(job, record),
       onOpenRead: (job, revision) => jobView.recordOpen(job, revision),
-      onAccepted: (job, revision) => this.announceAcceptance(job, revision),
+      onAccepted: (job, revision) => jobAnnouncements.announceAcceptance(job, revision),
     });
   }
 
-  /**
-   * A user is about to be told that the job is accepted. Remembers it, and notifies all peers: the key-value
-   * store may fail before any watch shows the job, and this process may end.
-   */
-  private announceAcceptance(jobId: string, revision: Revision): void {
-    this.jobView.recordOpen(jobId, revision);
-    this.peers.broadcast({ kind: 'jobAccepted', jobId, revision });
-  }
-
   private createFinalRecordReader(): FinalRecordReader {
-    const { clock, jobRequests, log } = this;
+    const { clock, jobAnnouncements, jobRequests, log } = this;
     return new FinalRecordReader({
       clock,
       log,
       isFinished: (job) => jobRequests.isFinished(job),
       read: (job) => jobRequests.readFinalRecord(job),
-      onRead: (job, record) => this.announceEnd(job, record),
+      onRead: (job, record) => jobAnnouncements.announceEnd(job, record),
     });
   }
 
   /** Peers are not notified: most of them know these ends, and each is asked which of them it knows. */
   private createRecentEndsReader(): RecentEndsReader {
-    const { clock, log, signal, store } = this;
+    const { clock, jobAnnouncements, log, signal, store } = this;
     return new RecentEndsReader({
       clock,
       log,
       signal,
       store,
-      onRead: (job, record) => this.recordOwnEnd(job, record),
+      onRead: (job, record) => jobAnnouncements.recordEnd(job, record),
     });
   }
 
-  /** This node has committed or read the job's final record. The tasks of a cancelled job are stopped. */
-  private recordOwnEnd(job: string, record: FinalRecord): void {
-    this.jobRequests.recordEnd(job, record, this.self.name);
-    if (record.status === 'cancelled') this.dispatcher.onJobCancelled(job);
-  }
-
-  /** Records an end like `recordOwnEnd`, and notifies all peers, so that any of them can answer the job's user. */
-  private announceEnd(job: string, record: FinalRecord): void {
-    this.recordOwnEnd(job, record);
-    notifyOfEnd(this.peers, this.peers.names, job, record);
-  }
-
   private createJobCompletion(): JobCompletion {
-    const { clock, ledShards, log, openJobs, store, wallClock } = this;
+    const { clock, jobAnnouncements, ledShards, log, openJobs, store, wallClock } = this;
     return new JobCompletion({
       clock,
       wallClock,
@@ -297,7 +278,8 @@
       store,
       openJobs,
       leads: (shard) => ledShards.get(shard) !== undefined,
-      onDone: (job, revision, tasks) => this.announceEnd(job, { status: 'done', revision, tasks }),
+      onDone: (job, revision, tasks) =>
+        jobAnnouncements.announceEnd(job, { status: 'done', revision, tasks }),
     });
   }
 
