--- a/packages/emulator/src/invariant-checker.ts
+++ b/packages/emulator/src/invariant-checker.ts
@@ -195,13 +195,23 @@
     if (!this.firstStarts.has(work.spec.id)) this.firstStarts.set(work.spec.id, this.time.now);
     if (this.everStarted.has(task)) this.repeated++;
     this.everStarted.add(task);
+    this.checkNotElsewhere(worker, task);
+    const tasks = this.runningByJob.get(work.spec.id) ?? new Set<string>();
+    tasks.add(task);
+    this.runningByJob.set(work.spec.id, tasks);
+    this.checkQuota(task, work);
+    this.checkPlacement(worker, task, work, tasks);
+    this.checkNotCancelled(worker, task, work.spec.id);
+  }
+
+  /** Checks the rules `ran_again` and `ran_twice`, and records that the task is on the worker. */
+  private checkNotElsewhere(worker: Worker, task: string): void {
     if (this.forgottenResults.has(task) && !this.unrecoverableFacts.result.has(task))
       this.reportViolation(
         'ran_again',
         [task, worker.id],
         `${task} starts on ${worker.id} after its result was recorded`,
       );
-    const { spec } = work;
     const workers = this.workersByTask.get(task) ?? new Set<Worker>();
     for (const other of workers) {
       if (other !== worker)
@@ -213,9 +223,10 @@
     }
     workers.add(worker);
     this.workersByTask.set(task, workers);
-    const tasks = this.runningByJob.get(spec.id) ?? new Set<string>();
-    tasks.add(task);
-    this.runningByJob.set(spec.id, tasks);
+  }
+
+  /** Checks the rule `quota`, and records what the task uses. */
+  private checkQuota(task: string, { spec }: Work): void {
     const used = (this.usedCoresByTeam.get(spec.team) ?? 0) + spec.cores;
     this.usedCoresByTeam.set(spec.team, used);
     const quota = this.limits.teamCores.get(spec.team) ?? 0;
@@ -225,11 +236,14 @@
         [spec.team, used, quota, task],
         `${spec.team} uses ${String(used)} CPUs of a quota of ${String(quota)} after the start of ${task}`,
       );
-    this.checkPlacement(worker, task, work, tasks);
-    const final = this.jobs.get(spec.id)?.final;
-    const isCancelled = final?.state === 'cancelled' && !this.unrecoverableFacts.final.has(spec.id);
-    if (isCancelled) this.startsAfterCancelled++;
-    if (isCancelled && this.time.now > final.at + this.limits.cancelMs)
+  }
+
+  /** Checks the rule `ran_cancelled` on the start of a task. */
+  private checkNotCancelled(worker: Worker, task: string, jobId: string): void {
+    const final = this.jobs.get(jobId)?.final;
+    if (final?.state !== 'cancelled' || this.unrecoverableFacts.final.has(jobId)) return;
+    this.startsAfterCancelled++;
+    if (this.time.now > final.at + this.limits.cancelMs)
       this.reportViolation(
         'ran_cancelled',
         ['starts', task, worker.id, final.at / 1000],
@@ -346,49 +360,71 @@
   onAnswer(id: string, request: RequestKind, sentAt: number, status: number, state: JobState | null): void {
     this.record('answer', id, request, status, state);
     const job = this.historyOf(id);
-    const work = this.workload.get(id);
     if (request === 'poll') this.checkPoll(id, job, sentAt, status);
-    if (status === 404 && sentAt >= job.acceptedAt && !this.unrecoverableFacts.acceptance.has(id))
+    this.checkRejection(id, request, sentAt, status);
+    if ((status !== 200 && status !== 201) || state === null) return;
+    if (!this.workload.get(id)?.submitted)
+      this.reportViolation('invented', [id, request, status], `${id}: ${request} answered ${String(status)}`);
+    if (request !== 'cancel') this.onAccepted(id, job);
+    this.checkState(id, job, sentAt, state);
+    if (state === 'done' || state === 'cancelled') this.onFinalState(id, job, state);
+  }
+
+  /** Checks the rule `forgotten` on an answer that denies the job. A submission answered 422 is refused. */
+  private checkRejection(id: string, request: RequestKind, sentAt: number, status: number): void {
+    const job = this.historyOf(id);
+    const isAccepted = sentAt >= job.acceptedAt;
+    if (status === 404 && isAccepted && !this.unrecoverableFacts.acceptance.has(id))
       this.reportViolation('forgotten', [id, request, status], `${id}: ${request} answered 404`);
-    if (request === 'submit' && (status === 400 || status === 422) && sentAt >= job.acceptedAt)
+    if (request !== 'submit' || (status !== 400 && status !== 422)) return;
+    if (isAccepted)
       this.reportViolation(
         'forgotten',
         [id, request, status],
         `${id}: repeated submission answered ${String(status)}`,
       );
-    if (request === 'submit' && status === 422) job.refused = true;
-    if ((status !== 200 && status !== 201) || state === null) return;
-    if (!work?.submitted)
-      this.reportViolation('invented', [id, request, status], `${id}: ${request} answered ${String(status)}`);
-    const isNewlyAccepted = job.acceptedAt === Infinity && request !== 'cancel';
-    if (isNewlyAccepted) {
-      job.acceptedAt = this.time.now;
-      this.time.after(0, () => this.onStateLearned(id));
-    }
-    if (
-      job.final &&
-      sentAt >= job.final.at &&
-      state !== job.final.state &&
-      !this.unrecoverableFacts.final.has(id)
-    )
+    if (status === 422) job.refused = true;
+  }
+
+  /** Records the first answer that reports the job as accepted. */
+  private onAccepted(id: string, job: JobHistory): void {
+    if (job.acceptedAt !== Infinity) return;
+    job.acceptedAt = this.time.now;
+    this.time.after(0, () => this.onStateLearned(id));
+  }
+
+  /** Checks the rules `went_back` and `not_done` on the state in an answer. */
+  private checkState(
+    id: string,
+    { cancelRequested, final }: JobHistory,
+    sentAt: number,
+    state: JobState,
+  ): void {
+    const isFinalKnown = final !== null && sentAt >= final.at && !this.unrecoverableFacts.final.has(id);
+    if (isFinalKnown && state !== final.state)
       this.reportViolation(
         'went_back',
-        [id, job.final.state, state],
-        `${id}: answered ${state} after ${job.final.state}`,
+        [id, final.state, state],
+        `${id}: answered ${state} after ${final.state}`,
       );
-    if (state === 'cancelled' && !job.cancelRequested)
+    if (state === 'cancelled' && !cancelRequested)
       this.reportViolation(
         'went_back',
         [id, null, state],
         `${id}: answered cancelled, but no user cancelled it`,
       );
+    const work = this.workload.get(id);
     if (state === 'done' && work && work.results.size < work.spec.tasks)
       this.reportViolation(
         'not_done',
         [id, work.results.size, work.spec.tasks],
         `${id}: answered done with ${String(work.results.size)} of ${String(work.spec.tasks)} tasks done`,
       );
-    if (job.final || (state !== 'done' && state !== 'cancelled')) return;
+  }
+
+  /** Records the first answer that reports the job's final state. */
+  private onFinalState(id: string, job: JobHistory, state: 'done' | 'cancelled'): void {
+    if (job.final) return;
     job.final = { state, at: this.time.now };
     this.time.after(0, () => this.onStateLearned(id));
     if (state === 'cancelled') this.time.after(this.limits.cancelMs + 1, () => this.checkCancelledTasks(id));
