Unreported ends: tests require the reason of each refusal; the boolean form is gone

reasonUndecided had a boolean twin that only tests still called. The cases now name the reason that each undecided read must have, so a refusal for another reason than the one in its title fails too. Decisions are unchanged.

--- a/packages/scheduler/src/coordination/leadership/unreported-end.ts
+++ b/packages/scheduler/src/coordination/leadership/unreported-end.ts
@@ -87,15 +87,10 @@
   );
 }
 
-/** Whether no node can have reported the end of the job: see `reasonUndecided`. */
-export function isUnreportedByAll(nodes: readonly NodeObservation[], majority: number): boolean {
-  return reasonUndecided(nodes, majority) === null;
-}
-
 /**
- * Why a node may have reported the end of the job; null if none can have done so. At least one node must have
- * seen the job open; the newest of these observations counts. Nodes whose processes have read nothing yet are
- * allowed if they cannot be part of a majority that knew the end, and if another node holds an unbroken read
+ * Why a node may have reported the end of the job; null if none can have done so. At least one node must know
+ * the job to have been open; the latest of these revisions counts. Nodes whose processes have read nothing yet
+ * are allowed if they cannot be part of a majority that knew the end, and if another node holds an unbroken read
  * lease of each.
  */
 export function reasonUndecided(nodes: readonly NodeObservation[], majority: number): UndecidedReason | null {
--- a/packages/scheduler/test/reported-ends.test.ts
+++ b/packages/scheduler/test/reported-ends.test.ts
@@ -11,9 +11,10 @@
 import { ObservationResponder } from '../src/coordination/leadership/observation-responder.ts';
 import { PeerReadLeases } from '../src/coordination/leadership/peer-read-leases.ts';
 import {
-  isUnreportedByAll,
   type JobObservation,
   type NodeObservation,
+  reasonUndecided,
+  type UndecidedReason,
 } from '../src/coordination/leadership/unreported-end.ts';
 import { PeerChannel, type PeerTransport } from '../src/coordination/peer-channel.ts';
 import { decodePeerMessage } from '../src/protocol/peer-message-codec.ts';
@@ -211,61 +212,69 @@
     });
   }
 
-  const cases: [what: string, nodes: NodeObservation[], expected: boolean][] = [
-    ['if all have it open, or have forgotten no later end', observe([open, none(9), open]), true],
-    ['unless one may have reported a later end', observe([open, none(10), open]), false],
-    ['unless one knows the end', observe([open, { kind: 'over' }, open]), false],
-    ['only if one has seen it open', observe([none(0), none(0), none(0)]), false],
-    ['if a restarted node is covered by a lease', observe([open, open, unread]), true],
+  const cases: [what: string, nodes: NodeObservation[], expected: UndecidedReason | null][] = [
+    ['if all have it open, or have forgotten no later end', observe([open, none(9), open]), null],
+    ['unless one may have reported a later end', observe([open, none(10), open]), 'possiblyReported'],
+    ['unless one knows the end', observe([open, { kind: 'over' }, open]), 'possiblyReported'],
+    ['only if one has seen it open', observe([none(0), none(0), none(0)]), 'neverSeenOpen'],
+    ['if a restarted node is covered by a lease', observe([open, open, unread]), null],
     [
       'unless the lease began later',
       observe([open, open, unread], [{ ...leaseOfC, fromRevision: 10 }]),
-      false,
+      'noReadLease',
     ],
     [
       'unless the lease is of another process',
       observe([open, open, unread], [{ ...leaseOfC, incarnation: 'c0' }]),
-      false,
+      'noReadLease',
     ],
     [
       'unless the lease is of another node',
       observe([open, open, unread], [{ ...leaseOfC, node: 'b' }]),
-      false,
+      'noReadLease',
     ],
     [
       'unless the restarted process may have reported it',
       observe([open, open, { ...unread, forgottenEndsUpTo: 10 }]),
-      false,
+      'possiblyReported',
+    ],
+    [
+      'unless a majority may have seen the open record deleted',
+      observe([open, none(9), unread]),
+      'majorityMayKnow',
+    ],
+    ['if one knows that the job was accepted', observe([none(1), accepted(8), none(1)]), null],
+    [
+      'unless another may have reported an end since',
+      observe([none(10), accepted(8), none(1)]),
+      'possiblyReported',
     ],
-    ['unless a majority may have seen the open record deleted', observe([open, none(9), unread]), false],
-    ['if one knows that the job was accepted', observe([none(1), accepted(8), none(1)]), true],
-    ['unless another may have reported an end since', observe([none(10), accepted(8), none(1)]), false],
     [
       'if no cache has reached the acceptance, and a node restarted',
       observe([accepted(8), accepted(9), unread]),
-      true,
+      null,
     ],
     [
       'unless a cache may have shown the end to a majority',
       observe([accepted(8), accepted(10), unread]),
-      false,
+      'majorityMayKnow',
     ],
-    ['unless a majority may have known it', observe([open, none(10), unread]), false],
+    ['unless a majority may have known it', observe([open, none(10), unread]), 'possiblyReported'],
     [
       'unless a majority of restarted nodes may have known it',
       observe([open, unread, unread], [leaseOfC, { ...leaseOfC, node: 'b', incarnation: 'b1' }]),
-      false,
+      'majorityMayKnow',
     ],
     [
       'unless a node of an older version is needed against a majority',
       observe([open, open, unread]).map((each) =>
         each.node === 'b' ? { ...each, incarnation: null } : each,
       ),
-      false,
+      'majorityMayKnow',
     ],
   ];
   for (const [what, nodes, expected] of cases) {
-    it(what, () => assert.equal(isUnreportedByAll(nodes, Math.floor(nodes.length / 2) + 1), expected));
+    it(what, () => assert.equal(reasonUndecided(nodes, Math.floor(nodes.length / 2) + 1), expected));
   }
 });
 
