Invariant checker: rules, history and placement rule in modules of their own

The codes are in invariant-rules.ts, the digest and the violations in run-history.ts, and placement-rule.ts is a pure function. The zones of a job's tasks are counted for jobs with a zone rule only, as before.

--- a/packages/emulator/src/cluster.ts
+++ b/packages/emulator/src/cluster.ts
@@ -14,7 +14,8 @@
 } from '@onyxkeel/scheduler';
 import { Cloud, type CloudMachine } from './cloud.ts';
 import { EPOCH_MS, START_MS } from './constants.ts';
-import { type EventField, InvariantChecker } from './invariant-checker.ts';
+import { InvariantChecker } from './invariant-checker.ts';
+import type { EventField } from './invariant-rules.ts';
 import type { Loss } from './data-loss.ts';
 import { controllerAddress, controllerName, controllerSettings, type Deployment } from './deployment.ts';
 import { LoadBalancer } from './load-balancer.ts';
--- a/packages/emulator/src/invariant-checker.ts
+++ b/packages/emulator/src/invariant-checker.ts
@@ -2,77 +2,16 @@
  * Checks every event of a run against the rules of PROTOCOL and some more (`Rule`), and adds it to a digest
  * that shows whether two runs had the same history.
  */
-import { createHash, type Hash } from 'node:crypto';
 import { ROUNDING } from './constants.ts';
 import type { EndReason, InvalidRequestKind, JobState } from './protocol/wire.ts';
+import type { EventCode, EventField, RequestKind, Rule, Violation } from './invariant-rules.ts';
+import { placementErrors } from './placement-rule.ts';
 import { PollFailures } from './poll-failures.ts';
+import { RunHistory } from './run-history.ts';
 import type { VirtualTime } from './time.ts';
 import type { TaskObserver, Worker } from './worker.ts';
 import type { Work, Workload } from './workload.ts';
 
-/**
- * The rules that a run may break: those of PROTOCOL "Rules", and these:
- * - `ran_again`: a task starts after its worker was told to forget its result.
- * - `unserved`: less than half of the jobs of a class, of a team, or of a class's largest jobs are served.
- * - `stuck`: an accepted job does not end after all faults are over.
- * - `idle_wait`: a job stays pending for long after all faults are over, while a machine has capacity for it.
- * - `wrongly_accepted`: a job that can't run or lacks a field is accepted.
- * - `over_limit`: too many calls exceed the limits of an external service.
- * - `crashed`: an uncaught error.
- */
-export type Rule =
-  | 'ran_twice'
-  | 'quota'
-  | 'wrong_place'
-  | 'ran_cancelled'
-  | 'forgotten'
-  | 'invented'
-  | 'not_done'
-  | 'went_back'
-  | 'nothing_ran'
-  | 'ran_again'
-  | 'stuck'
-  | 'unserved'
-  | 'idle_wait'
-  | 'wrongly_accepted'
-  | 'over_limit'
-  | 'crashed';
-
-/**
- * The kind of an event in a run's history. Codes are part of the run's digest: a renamed code changes
- * recorded digests.
- */
-export type EventCode =
-  | 'task_start'
-  | 'task_end'
-  | 'answer'
-  | 'invalid_request'
-  | 'fault'
-  | 'controller_end'
-  | 'unrecoverable'
-  | 'violation';
-
-/** A code, an id or a number of an event, never text for people; null if the event has none. */
-export type EventField = string | number | null;
-
-/** A rule that was broken. */
-export interface Violation {
-  rule: Rule;
-  /** Virtual seconds. */
-  atS: number;
-  /** What broke it, as text for people. */
-  detail: string;
-}
-
-/**
- * The kind of a user's request; a code in recorded events. `poll_node` is a poll sent directly to one node:
- * its failure does not show that users in general get no answer.
- */
-export type RequestKind = 'submit' | 'poll' | 'cancel' | 'poll_node';
-
-/** The placement rule that a task violates; a code in recorded events. */
-type PlacementCause = 'type' | 'zone' | 'spot' | 'one_zone' | 'spread';
-
 /**
  * What answers have told a job's user so far. Times are virtual milliseconds, infinite for events yet to
  * come.
@@ -93,8 +32,6 @@
  * the earlier answer arrived, since answers may overtake one another.
  */
 export class InvariantChecker implements TaskObserver {
-  /** All violations so far, in the order in which they were found. */
-  readonly violations: Violation[] = [];
   /** When a task last started or ended. */
   lastProgressAt = 0;
   /** Starts of tasks. */
@@ -103,7 +40,7 @@
   completed = 0;
   /** Starts of tasks that had been started before. */
   repeated = 0;
-  private readonly digest: Hash = createHash('sha256');
+  private readonly history: RunHistory;
   /** By task: the workers that it is on. */
   private readonly workersByTask = new Map<string, Set<Worker>>();
   /** By job: its tasks that are on machines. */
@@ -139,7 +76,9 @@
     private readonly workload: Workload,
     /** Quotas in CPUs by team (0: unlimited), and how long a cancelled job's tasks may still start or run. */
     private readonly limits: { teamCores: Map<string, number>; cancelMs: number },
-  ) {}
+  ) {
+    this.history = new RunHistory(time);
+  }
 
   /** How many facts are unrecoverable, by kind. */
   get unrecoverable(): Record<string, number> {
@@ -167,22 +106,22 @@
 
   /** Digest of the history so far, in hexadecimal. Equal histories have equal digests. */
   get digestHex(): string {
-    return this.digest.copy().digest('hex');
+    return this.history.digestHex;
   }
 
-  /**
-   * Records a violation; the run continues. `subject` has the codes, ids and numbers that distinguish this
-   * violation from others of the same rule and is part of the digest. `detail` is text for people and is not.
-   */
+  /** All violations so far, in the order in which they were found. */
+  get violations(): Violation[] {
+    return this.history.violations;
+  }
+
+  /** See {@link RunHistory.reportViolation}. */
   reportViolation(rule: Rule, subject: readonly EventField[], detail: string): void {
-    this.record('violation', rule, ...subject);
-    this.violations.push({ rule, atS: this.time.now / 1000, detail });
+    this.history.reportViolation(rule, subject, detail);
   }
 
-  /** Adds an event at the current time to the history, and so to the digest. */
+  /** See {@link RunHistory.record}. */
   record(event: EventCode, ...fields: EventField[]): void {
-    const line = [this.time.now.toFixed(3), event, ...fields.map((field) => String(field ?? '-'))].join(' ');
-    this.digest.update(`${line}\n`);
+    this.history.record(event, ...fields);
   }
 
   // --- tasks on machines ---
@@ -252,30 +191,20 @@
   }
 
   /** Checks the rule `wrong_place`: type, zone, spot flag, and the zones of the job's other tasks. */
-  private checkPlacement(worker: Worker, task: string, work: Work, tasks: Set<string>): void {
-    const { spec } = work;
-    const { type, zone, spot } = worker.machine;
-    const wrong = (cause: PlacementCause, value: string | null, explanation: string): void =>
+  private checkPlacement(worker: Worker, task: string, { spec }: Work, tasks: Set<string>): void {
+    const zones = spec.oneZone || spec.spread ? this.zonesOf(tasks) : [];
+    for (const { cause, value, explanation } of placementErrors(spec, worker.machine, zones))
       this.reportViolation(
         'wrong_place',
         [task, worker.id, cause, value],
         `${task} on ${worker.id}: ${explanation}`,
       );
-    if (spec.types !== null && !spec.types.includes(type.name)) wrong('type', type.name, `type ${type.name}`);
-    if (spec.zone !== null && spec.zone !== zone) wrong('zone', zone, `zone ${zone}`);
-    if (spot && !spec.spot) wrong('spot', null, 'a spot machine');
-    if (!spec.oneZone && !spec.spread) return;
-    const inZone = new Map<string, number>();
-    for (const other of tasks) {
-      for (const otherWorker of this.workersByTask.get(other) ?? []) {
-        const otherZone = otherWorker.machine.zone;
-        inZone.set(otherZone, (inZone.get(otherZone) ?? 0) + 1);
-      }
-    }
-    if (spec.oneZone && inZone.size > 1)
-      wrong('one_zone', null, 'other tasks of the job are in another zone');
-    if (spec.spread && (inZone.get(zone) ?? 0) > Math.ceil(spec.tasks / 2))
-      wrong('spread', zone, 'too many tasks of the job are in one zone');
+  }
+
+  /** The zones of the tasks, one for each machine that a task is on. */
+  private zonesOf(tasks: Set<string>): string[] {
+    const workers = [...tasks].flatMap((task) => [...(this.workersByTask.get(task) ?? [])]);
+    return workers.map(({ machine }) => machine.zone);
   }
 
   /** Records that an attempt ended on its worker. `lost`: it ended with its machine or its agent epoch. */
--- a/packages/emulator/src/simulated-run.ts
+++ b/packages/emulator/src/simulated-run.ts
@@ -16,7 +16,8 @@
 } from './constants.ts';
 import { FaultInjector } from './fault-injector.ts';
 import { IdleWaitChecker } from './idle-wait-checker.ts';
-import type { InvariantChecker, Violation } from './invariant-checker.ts';
+import type { InvariantChecker } from './invariant-checker.ts';
+import type { Violation } from './invariant-rules.ts';
 import type { Scenario, ScenarioJob } from './scenario.ts';
 import { deploymentOf, jobSpecOf, taskDurations } from './scenario-deployment.ts';
 import { countServed, describeUnserved, findUnserved, type Served } from './served-share.ts';
--- a/packages/emulator/src/users.ts
+++ b/packages/emulator/src/users.ts
@@ -15,7 +15,8 @@
   RETRY_TOTAL_MS,
   SUBMIT_DEADLINE_MS,
 } from './constants.ts';
-import type { InvariantChecker, RequestKind } from './invariant-checker.ts';
+import type { InvariantChecker } from './invariant-checker.ts';
+import type { RequestKind } from './invariant-rules.ts';
 import type { LoadBalancer } from './load-balancer.ts';
 import type { Host, Network, Reply } from './network.ts';
 import { readJobState, encodeSubmission } from './protocol/wire.ts';
--- a/packages/emulator/test/acceptance-scenarios.ts
+++ b/packages/emulator/test/acceptance-scenarios.ts
@@ -1,5 +1,5 @@
 import { controllerName } from '../src/deployment.ts';
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
 import type { ScenarioCluster } from './refused-leader.ts';
 import {
--- a/packages/emulator/test/command-copy-scenarios.ts
+++ b/packages/emulator/test/command-copy-scenarios.ts
@@ -2,7 +2,7 @@
  * Scenarios of copies of direct launches: the call was executed and answered, and its copy reaches the machine
  * after the attempt has ended and been forgotten (docs/incidents/late-command-copies.md).
  */
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import type { Worker } from '../src/worker.ts';
 import { ScenarioCluster, siteTimings } from './refused-leader.ts';
 import {
--- a/packages/emulator/test/idle-wait-scenarios.ts
+++ b/packages/emulator/test/idle-wait-scenarios.ts
@@ -1,5 +1,5 @@
 import { IdleWaitChecker } from '../src/idle-wait-checker.ts';
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import { ScenarioCluster } from './refused-leader.ts';
 import { requirePrecondition, type ScriptedScenario } from './scripted-scenario.ts';
 import { smallMachines } from './test-cluster.ts';
--- a/packages/emulator/test/late-report-scenarios.ts
+++ b/packages/emulator/test/late-report-scenarios.ts
@@ -2,7 +2,7 @@
  * Scenarios of late reports about tasks that are migrating to another shard, with every outcome of the
  * migration (docs/design.md, "Migration of pending tasks").
  */
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
 import type { Worker } from '../src/worker.ts';
 import { newWork } from '../src/workload.ts';
--- a/packages/emulator/test/leader-fault-scenarios.ts
+++ b/packages/emulator/test/leader-fault-scenarios.ts
@@ -1,4 +1,4 @@
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import { readCommands } from '../src/protocol/wire.ts';
 import { acceptanceScenarios } from './acceptance-scenarios.ts';
 import { commandCopyScenarios } from './command-copy-scenarios.ts';
--- a/packages/emulator/test/machine-fault-scenarios.ts
+++ b/packages/emulator/test/machine-fault-scenarios.ts
@@ -1,4 +1,4 @@
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import { ScenarioCluster, siteTimings } from './refused-leader.ts';
 import {
   violationsAfterCompletion,
--- a/packages/emulator/test/refused-leader.ts
+++ b/packages/emulator/test/refused-leader.ts
@@ -1,4 +1,4 @@
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import { controllerAddress, type Deployment } from '../src/deployment.ts';
 import type { Host, Reply } from '../src/network.ts';
 import type { JobSpec } from '@onyxkeel/scheduler';
--- a/packages/emulator/test/restart-scenarios.ts
+++ b/packages/emulator/test/restart-scenarios.ts
@@ -1,5 +1,5 @@
 /** Scenarios of controllers that restart while records are written late or results arrive. */
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
 import { ScenarioCluster } from './refused-leader.ts';
 import { requirePrecondition, type ScriptedScenario } from './scripted-scenario.ts';
--- a/packages/emulator/test/store-outage-scenarios.ts
+++ b/packages/emulator/test/store-outage-scenarios.ts
@@ -1,4 +1,4 @@
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
 import { controllerName, type Deployment } from '../src/deployment.ts';
 import { ScenarioCluster, unlimitedStore } from './refused-leader.ts';
--- a/packages/emulator/test/user-request-scenarios.ts
+++ b/packages/emulator/test/user-request-scenarios.ts
@@ -1,4 +1,4 @@
-import type { Violation } from '../src/invariant-checker.ts';
+import type { Violation } from '../src/invariant-rules.ts';
 import { controllerName } from '../src/deployment.ts';
 import type { TransactionFault } from '../src/key-value-store-server.ts';
 import { ScenarioCluster, siteTimings, runRefusedLeader } from './refused-leader.ts';
