--- a/packages/emulator/test/user-request-faults.test.ts
+++ b/packages/emulator/test/user-request-faults.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { cancellationReadBack, userRequestScenarios } from './user-request-scenarios.ts';
+import { cancellationReadBack } from './cancellation-scenarios.ts';
+import { userRequestScenarios } from './user-request-scenarios.ts';
 
 describe('user requests during faults and concurrent requests violate no invariant', () => {
   for (const [name, scenario] of Object.entries(userRequestScenarios)) {
