--- a/packages/emulator/test/acceptance-scenarios.ts
+++ b/packages/emulator/test/acceptance-scenarios.ts
@@ -145,8 +145,8 @@
 }
 
 /**
- * Guards against `forgotten`: the node that has committed an acceptance ends before the answer. The job is
- * submitted again at another node, which restarts in the outage that follows.
+ * Guards against `forgotten`: the node that has committed an acceptance ends before the answer, and is back in the
+ * outage that follows. The job is submitted again at another node before it; the third has seen nothing.
  */
 async function acceptanceRepeated(): Promise<Violation[]> {
   const cluster = await startCluster();
